--- /dev/null
+++ b/cmd/filbertmill/main.go
@@ -0,0 +1,4 @@
+// Command filbertmill runs and operates the proxy fleet.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/dynamic/config.go
@@ -0,0 +1,137 @@
+// Package dynamic holds the fleet configuration: what the operators decide for
+// the whole fleet and keep in the platform's store.
+//
+// A Config is immutable once built. Each change makes a whole new one with a
+// higher revision.
+package dynamic
+
+import "time"
+
+// Revision orders configurations; a higher one replaces a lower one.
+type Revision int64
+
+// Config is one whole fleet configuration.
+type Config struct {
+	// Revision is the configuration's place in the order of changes.
+	Revision Revision
+	// ChangeID identifies the change that made this revision, so that a write
+	// whose reply was lost can be recognised.
+	ChangeID string
+	// Services, Routes and Targets are sorted by name.
+	Services []Service
+	Routes   []Route
+	Targets  []Target
+	// Exceptions lists the departures from the defaults.
+	Exceptions []Exception
+}
+
+// Variant names the way in which a service's requests are balanced.
+type Variant string
+
+// The ways of balancing.
+const (
+	// VariantHome sends all requests of a service through its home node.
+	VariantHome Variant = "home"
+	// VariantDirect has each node balance over all targets by itself.
+	VariantDirect Variant = "direct"
+)
+
+// Service is a group of targets that are alike.
+type Service struct {
+	// Name identifies the service.
+	Name string
+	// Variant is the way of balancing. Default: home.
+	Variant Variant
+	// Slots is the number of requests that each target runs at once. Default: 2.
+	Slots int
+	// Connections is the number of connections each target accepts. Default: 330.
+	Connections int
+	// FloorShare is the share of listed slots, from 0 to 1, below which no
+	// ejection may take the healthy capacity. Default: 0.5.
+	FloorShare float64
+	// QueueLimit is the most requests that wait at once. Default: 256.
+	QueueLimit int
+	// CallerShare is the largest share of slots and queue that one caller may
+	// hold while others wait. Default: 0.5.
+	CallerShare float64
+	// LongShare is the share of slots that long work may hold. Default: 0.25.
+	LongShare float64
+	// RetryShare is the number of retries allowed for each request, as a
+	// moving ratio. Default: 0.1.
+	RetryShare float64
+	// RefusalStatus lists the statuses by which a target states that it did
+	// not run a request. Default: none.
+	RefusalStatus []int
+	// Objective is the share of requests to be answered whole and in time.
+	// Default: 0.999.
+	Objective float64
+	// ObjectiveWindow is the time over which Objective counts. Default: 720h.
+	ObjectiveWindow time.Duration
+	// ProbePath is the path of the targets' health endpoint. Default: /health.
+	ProbePath string
+}
+
+// Idempotency says how a route's requests may be repeated.
+type Idempotency string
+
+// The kinds of idempotency.
+const (
+	// IdempotentByMethod takes GET, HEAD, OPTIONS, PUT, DELETE and TRACE as idempotent.
+	IdempotentByMethod Idempotency = "method"
+	// IdempotentAlways takes every request of the route as idempotent.
+	IdempotentAlways Idempotency = "always"
+	// IdempotentNever takes no request of the route as idempotent.
+	IdempotentNever Idempotency = "never"
+)
+
+// Route sends the requests that match it to a service.
+type Route struct {
+	// Name identifies the route.
+	Name string
+	// Host is the host name to match; "*" matches all. Default: *.
+	Host string
+	// PathPrefix is the start of the path, in whole segments. Default: /.
+	PathPrefix string
+	// Service is the name of the service.
+	Service string
+	// Idempotency says how requests may be repeated. Default: method.
+	Idempotency Idempotency
+	// Timeout is the longest time a request may take. Default: 10s.
+	Timeout time.Duration
+	// MaxRequestBytes bounds the request body. Default: 256 MiB.
+	MaxRequestBytes int64
+	// MaxResponseBytes bounds the response body. Default: 1 GiB.
+	MaxResponseBytes int64
+}
+
+// Target is one licensed copy of a back end.
+type Target struct {
+	// Name identifies the target.
+	Name string
+	// Service is the service it belongs to.
+	Service string
+	// Address is its IP address and port.
+	Address string
+	// AvailabilityZone is where it runs.
+	AvailabilityZone string
+	// Slots and Connections override the service's figures when not zero.
+	Slots       int
+	Connections int
+}
+
+// Exception is a departure from the defaults for one service, route or target.
+type Exception struct {
+	// Name identifies the exception.
+	Name string
+	// Scope is the section that the exception changes, for example
+	// "service bookings".
+	Scope string
+	// Key and Value are the setting and what it becomes.
+	Key   string
+	Value string
+	// Reason and Author say why and by whom; both are required.
+	Reason string
+	Author string
+	// Expires is when the exception ends; the zero time means never.
+	Expires time.Time
+}
