--- a/pool/config.go
+++ b/pool/config.go
@@ -45,11 +45,13 @@
 	// LongWait is the wait after which a long attempt takes the next free
 	// slot of LongShare whatever short work costs it. Default: 10s.
 	LongWait time.Duration
-	// SuspicionScore is the log likelihood ratio at which a target gets only
-	// what other targets cannot take. Default: 4.6.
+	// SuspicionScore is the log likelihood ratio at which a target that takes
+	// few requests gets only what other targets cannot take; it rises with the
+	// logarithm of the target's requests a second, so that suspicions do not
+	// become more frequent with load. Default: 6.2.
 	SuspicionScore float64
-	// EjectionScore is the log likelihood ratio at which a target is ejected.
-	// A higher score detects later and errs less often. Default: 9.2.
+	// EjectionScore is the log likelihood ratio at which a target is ejected;
+	// it rises as SuspicionScore does. A higher score detects later and errs less often. Default: 9.2.
 	EjectionScore float64
 	// EjectionTime is how long the first ejection lasts; each further one
 	// lasts twice as long as the one before, up to EjectionTimeMax.
@@ -92,7 +94,7 @@
 		QueueWaitShare:     0.5,
 		LongFactor:         8,
 		LongWait:           10 * time.Second,
-		SuspicionScore:     4.6,
+		SuspicionScore:     6.2,
 		EjectionScore:      9.2,
 		EjectionTime:       2 * time.Second,
 		EjectionTimeMax:    5 * time.Minute,
--- /dev/null
+++ b/pool/dispatch.go
@@ -0,0 +1,150 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"filbertmill.example/outcome"
+)
+
+// Submit implements Scheduler.
+func (h *home) Submit(now time.Time, r Request) {
+	a := &attempt{Request: r, submitted: now, route: h.routeOf(r.Route)}
+	if refusal, ok := h.admit(now, a); !ok {
+		h.refuse(now, a, refusal)
+		return
+	}
+	h.queue.push(a)
+	h.dispatch(now)
+}
+
+// Cancel implements Scheduler.
+func (h *home) Cancel(now time.Time, id RequestID) {
+	if h.queue.remove(id) != nil {
+		h.dispatch(now)
+	}
+}
+
+// dispatch starts what can start and refuses what no longer can.
+func (h *home) dispatch(now time.Time) {
+	h.expire(now)
+	for h.queue.len() > 0 && h.anyFree(now) {
+		a, t := h.pick(now)
+		if a == nil {
+			return
+		}
+		h.queue.remove(a.ID)
+		h.start(now, a, t)
+	}
+}
+
+// anyFree says whether any target could take an attempt.
+func (h *home) anyFree(now time.Time) bool {
+	for _, t := range h.order {
+		if t.free(now) > 0 || t.doseDue(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// pick returns the next attempt that can start, and where.
+func (h *home) pick(now time.Time) (*attempt, *target) {
+	blocked := make(map[needs]bool)
+	for _, a := range h.queue.inOrder(h.cfg.Order, now) {
+		need := needs{idempotent: a.Idempotent, exclude: strings.Join(a.Exclude, ",")}
+		if blocked[need] || !h.mayStart(a) {
+			continue
+		}
+		if t := h.choose(now, a); t != nil {
+			return a, t
+		}
+		blocked[need] = true
+	}
+	return nil, nil
+}
+
+// needs is what the choice of a target depends on; if one attempt finds none,
+// neither does another with the same needs.
+type needs struct {
+	idempotent bool
+	exclude    string
+}
+
+// choose returns the target that is to run a, or nil.
+func (h *home) choose(now time.Time, a *attempt) *target {
+	if t := h.chooseDoubtful(now, a); t != nil {
+		a.dose = true
+		return t
+	}
+	normal := func(t *target) bool { return t.state == StateServing || t.state == StateCold }
+	if t := h.mostFree(now, a, normal); t != nil {
+		return t
+	}
+	return h.mostFree(now, a, func(t *target) bool {
+		return t.state == StateSuspected && (t.held || a.Idempotent)
+	})
+}
+
+// chooseDoubtful returns a target that needs a dose of real work, if a is fit
+// for one: it may be repeated and is not itself a repetition.
+func (h *home) chooseDoubtful(now time.Time, a *attempt) *target {
+	if h.doseCredit < 1 || !a.Idempotent || len(a.Exclude) > 0 {
+		return nil
+	}
+	for _, t := range h.order {
+		if t.doseDue(now) {
+			return t
+		}
+	}
+	return nil
+}
+
+// mostFree returns the fit target with the most free slots; among equals it
+// chooses at random.
+func (h *home) mostFree(now time.Time, a *attempt, fit func(*target) bool) *target {
+	var best *target
+	most, ties := 0, 0
+	for _, t := range h.order {
+		free := t.free(now)
+		if free == 0 || free < most || !fit(t) || slices.Contains(a.Exclude, t.Name) {
+			continue
+		}
+		if free > most {
+			best, most, ties = t, free, 1
+			continue
+		}
+		ties++
+		if h.rng.IntN(ties) == 0 {
+			best = t
+		}
+	}
+	return best
+}
+
+// start gives a to t.
+func (h *home) start(now time.Time, a *attempt, t *target) {
+	a.started = now
+	a.target = t
+	if a.dose {
+		h.doseCredit--
+		t.probation.dosed = now
+	} else {
+		h.doseCredit = min(1, h.doseCredit+doseShare)
+	}
+	t.running[a.ID] = a
+	h.running[a.ID] = a
+	h.callers.began(a.Caller)
+	h.delegate.Start(a.ID, t.Name)
+}
+
+// expire refuses waiting attempts whose deadline has passed.
+func (h *home) expire(now time.Time) {
+	for _, a := range slices.Clone(h.queue.waiting) {
+		if h.hopeless(now, a) {
+			h.queue.remove(a.ID)
+			h.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: h.retryAfter()})
+		}
+	}
+}
--- /dev/null
+++ b/pool/evidence.go
@@ -0,0 +1,403 @@
+package pool
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// priorWeight is the number of exchanges that the assumed frequencies
+	// count for before a route's own are known.
+	priorWeight = 20
+	// runPriorWeight is the same for the frequencies within one run.
+	runPriorWeight = 20
+	// runPeersMin is the least number of peers' samples within a run.
+	runPeersMin = 16
+	// recent is the time over which peers' latest work counts in any case.
+	recent = 5 * time.Second
+	// slowRatioMin is how many times slower than its peers in the same window
+	// a target must be to be found slow.
+	slowRatioMin = 2
+	// failedRatioMin is the same for the share of failures.
+	failedRatioMin = 2
+	// latencyDiscount weakens the evidence of latency, because successive
+	// latencies depend on one another and tails are known less well.
+	latencyDiscount = 0.65
+	// failedShareMin is the least share of failures that a failing target is
+	// taken to have.
+	failedShareMin = 0.3
+	// failuresMin is the least weight of failures that convicts; a target that
+	// takes busyRate requests a second or more needs failuresMinBusy.
+	failuresMin     = 3
+	failuresMinBusy = 4
+	busyRate        = 4
+	// quietRate is the requests a second up to which scores need no caution.
+	quietRate = 2
+	// lostWeight is the weight of a hung or unreachable attempt as a failure.
+	lostWeight = 2
+	// peersTrimmed is the share of the worst peers left out of a comparison.
+	peersTrimmed = 0.25
+	// trimSamples is the least number of samples of each peer for that.
+	trimSamples = 4
+)
+
+// frequencies are the probabilities of the categories.
+type frequencies [numCategories]float64
+
+// assumed are the frequencies before anything was seen.
+var assumed = frequencies{0, 0, 0.45, 0.25, 0.15, 0.10, 0.04, 0.01}
+
+// least bounds the frequencies of a healthy target from below.
+var least = frequencies{0, 0.05, 0.05, 0.05, 0.05, 0.02, 0.006, 0.001}
+
+// slowed are the frequencies of a target that is several times slower.
+var slowed = frequencies{0, 0, 0.13, 0.145, 0.176, 0.25, 0.299, 0}
+
+// finding is the result of comparing a target with its peers.
+type finding struct {
+	// rule names the alternative that explains the samples best.
+	rule string
+	// score is the log likelihood ratio of that alternative.
+	score float64
+	// alone is the score without regard to what peers saw in the same window.
+	alone float64
+	// peersAlike says that peers were seen enough and show much the same.
+	peersAlike bool
+	// thin says that there are too few failures to convict on.
+	thin     bool
+	samples  int
+	failures int
+	latency  time.Duration
+	peer     time.Duration
+}
+
+// alternative is a hypothesis about a target that is not healthy.
+type alternative struct {
+	// ratio returns the log likelihood ratio of one sample.
+	ratio func(c category, q frequencies, share float64) float64
+	// failing says that the alternative is about failures.
+	failing bool
+}
+
+// failingRatio compares a target that fails a share of its work with a healthy one.
+func failingRatio(c category, q frequencies, share float64) float64 {
+	if c == categoryFailed {
+		return math.Log(share / q[categoryFailed])
+	}
+	return math.Log((1 - share) / (1 - q[categoryFailed]))
+}
+
+// slowRatio compares a target that is several times slower with a healthy one.
+func slowRatio(c category, q frequencies, _ float64) float64 {
+	if c == categoryFailed || c == categoryAnswered {
+		return 0
+	}
+	return latencyDiscount * math.Log(slowed[c]/q[c])
+}
+
+var alternatives = []alternative{
+	{ratio: failingRatio, failing: true},
+	{ratio: slowRatio},
+}
+
+// examine compares t with its peers on the same routes.
+func (h *home) examine(now time.Time, t *target) finding {
+	var worst finding
+	for _, alt := range alternatives {
+		if !alt.failing && t.state == StateCold {
+			continue
+		}
+		f := h.test(now, t, alt)
+		if f.score > worst.score || (f.score == worst.score && f.alone > worst.alone) {
+			worst = f
+		}
+	}
+	return worst
+}
+
+// test finds the run of latest samples that speaks most for alt, and weighs it
+// again with what peers saw in the same window.
+func (h *home) test(now time.Time, t *target, alt alternative) finding {
+	samples := t.evidence(now)
+	usual := h.usualOf(now, t, samples)
+	run, alone := bestRun(samples, usual, alt)
+	if len(run) == 0 {
+		return finding{}
+	}
+	f := finding{alone: alone, samples: len(run), rule: ruleOf(run, alt)}
+	f.failures = failures(run)
+	f.latency, f.peer = latencies(run)
+	f.thin = alt.failing && failureWeight(run) < t.failuresNeeded(now)
+	within, peers := h.usualWithin(now, t, run, usual)
+	if peers < runPeersMin {
+		return f
+	}
+	f.peersAlike = !h.standsOut(t, run, within, alt)
+	if !f.peersAlike {
+		f.score = max(0, score(run, within, alt))
+	}
+	return f
+}
+
+// failuresNeeded returns the least weight of failures that convicts t.
+func (t *target) failuresNeeded(now time.Time) int {
+	if t.rate(now) >= busyRate {
+		return failuresMinBusy
+	}
+	return failuresMin
+}
+
+// rate returns the samples a second that t gave lately.
+func (t *target) rate(now time.Time) float64 {
+	return float64(len(t.samplesSince(now.Add(-recent)))) / recent.Seconds()
+}
+
+// caution returns what is added to the scores that decide about t, so that
+// errors are as rare in an hour of much work as in one of little.
+func (t *target) caution(now time.Time) float64 { return math.Log(max(1, t.rate(now)/quietRate)) }
+
+// standsOut says whether the run is several times worse than what peers showed
+// in the same window; likelihoods alone call small differences certain once
+// there are many samples.
+func (h *home) standsOut(t *target, run []sample, within map[*route]frequencies, alt alternative) bool {
+	if !alt.failing {
+		return medianRatio(run) >= slowRatioMin*h.peersRatio(t, run)
+	}
+	expected := 0.0
+	for _, s := range run {
+		expected += within[s.route][categoryFailed]
+	}
+	return float64(failures(run)) >= failedRatioMin*expected
+}
+
+// bestRun returns the latest samples with the highest score.
+func bestRun(samples []sample, usual map[*route]frequencies, alt alternative) ([]sample, float64) {
+	best, bestScore, sum := len(samples), 0.0, 0.0
+	for i := len(samples) - 1; i >= 0; i-- {
+		s := samples[i]
+		sum += alt.ratio(s.category, usual[s.route], failedShareMin)
+		if sum > bestScore {
+			best, bestScore = i, sum
+		}
+	}
+	return samples[best:], bestScore
+}
+
+// score returns the log likelihood ratio of alt over the run.
+func score(run []sample, usual map[*route]frequencies, alt alternative) float64 {
+	share := (float64(failures(run)) + 0.9) / (float64(len(run)) + 3)
+	share = max(failedShareMin, share)
+	sum := 0.0
+	for _, s := range run {
+		sum += alt.ratio(s.category, usual[s.route], share)
+	}
+	return sum
+}
+
+func failures(run []sample) int {
+	n := 0
+	for _, s := range run {
+		if s.category == categoryFailed {
+			n++
+		}
+	}
+	return n
+}
+
+// failureWeight returns the failures with lost attempts counting for more.
+func failureWeight(run []sample) int {
+	n := 0
+	for _, s := range run {
+		switch {
+		case s.category != categoryFailed:
+		case s.hung || s.verdict == VerdictUnreachable || s.verdict == VerdictTimeout:
+			n += lostWeight
+		default:
+			n++
+		}
+	}
+	return n
+}
+
+// latencies returns the median of the run's latencies and of the usual ones
+// on the same routes.
+func latencies(run []sample) (own, peer time.Duration) {
+	owns := make([]time.Duration, 0, len(run))
+	peers := make([]time.Duration, 0, len(run))
+	for _, s := range run {
+		owns = append(owns, s.latency)
+		peers = append(peers, s.route.median)
+	}
+	slices.Sort(owns)
+	slices.Sort(peers)
+	return owns[len(owns)/2], peers[len(peers)/2]
+}
+
+// usualOf returns, for each route of the samples, the frequencies that t's
+// peers have shown over the last tallyHalfLife or so.
+func (h *home) usualOf(now time.Time, t *target, samples []sample) map[*route]frequencies {
+	usual := make(map[*route]frequencies)
+	for _, s := range samples {
+		if _, done := usual[s.route]; !done {
+			usual[s.route] = h.usual(now, s.route, t)
+		}
+	}
+	return usual
+}
+
+// usual returns the frequencies on r without those of t.
+func (h *home) usual(now time.Time, r *route, t *target) frequencies {
+	var sum frequencies
+	total := 0.0
+	for _, peer := range h.order {
+		seen := r.seen[peer]
+		if peer == t || seen == nil {
+			continue
+		}
+		seen.fade(now)
+		for c := range sum {
+			sum[c] += seen.counts[c]
+		}
+		total += seen.total
+	}
+	return blend(sum, total, assumed, priorWeight)
+}
+
+// blend mixes counted categories with prior frequencies of the given weight.
+func blend(sum frequencies, total float64, prior frequencies, weight float64) frequencies {
+	var q frequencies
+	for c := range q {
+		q[c] = max(least[c], (sum[c]+weight*prior[c])/(total+weight))
+	}
+	return q
+}
+
+// usualLately returns the usual frequencies on r, or those that t's peers
+// showed lately where these are worse.
+func (h *home) usualLately(now time.Time, t *target, r *route) frequencies {
+	q := h.usual(now, r, t)
+	sum, total := h.peersSince(t, r, now.Add(-recent))
+	return worse(q, blend(sum, total, q, runPriorWeight))
+}
+
+// usualWithin returns the frequencies that t's peers showed since the run
+// began, never milder than usual, and the number of their samples.
+func (h *home) usualWithin(now time.Time, t *target, run []sample, usual map[*route]frequencies) (map[*route]frequencies, int) {
+	within := make(map[*route]frequencies, len(usual))
+	since := began(run)
+	seen := 0
+	for r, q := range usual {
+		sum, total := h.peersSince(t, r, since)
+		seen += int(total)
+		lately := worse(q, h.usualLately(now, t, r))
+		within[r] = worse(lately, blend(sum, total, q, runPriorWeight))
+	}
+	return within, seen
+}
+
+// worse returns q with the frequencies that speak against a target raised to
+// those of other.
+func worse(q, other frequencies) frequencies {
+	for c := categoryTail; c < numCategories; c++ {
+		q[c] = max(q[c], other[c])
+	}
+	return q
+}
+
+// began returns when the first attempt of the run started.
+func began(run []sample) time.Time {
+	first := run[0].began
+	for _, s := range run {
+		if s.began.Before(first) {
+			first = s.began
+		}
+	}
+	return first
+}
+
+// medianRatio returns the median of the samples' latencies in multiples of
+// what is usual on their routes.
+func medianRatio(samples []sample) float64 {
+	var ratios []float64
+	for _, s := range samples {
+		if s.category != categoryFailed && s.route.known() {
+			ratios = append(ratios, s.ratio())
+		}
+	}
+	if len(ratios) == 0 {
+		return 1
+	}
+	slices.Sort(ratios)
+	return ratios[len(ratios)/2]
+}
+
+// peersRatio returns the median latency of t's peers since the run began, in
+// multiples of what is usual on their routes.
+func (h *home) peersRatio(t *target, run []sample) float64 {
+	var window []sample
+	since := began(run)
+	for _, peer := range h.order {
+		if peer != t {
+			window = append(window, peer.samplesSince(since)...)
+		}
+	}
+	return medianRatio(window)
+}
+
+// peersSince counts the samples of t's peers on r since the given time,
+// without the worst peers where each has shown enough.
+func (h *home) peersSince(t *target, r *route, since time.Time) (frequencies, float64) {
+	var peers []peerCount
+	trim := true
+	for _, peer := range h.order {
+		p := countSamples(peer.samplesSince(since), r)
+		if peer == t || p.total == 0 {
+			continue
+		}
+		trim = trim && p.total >= trimSamples
+		peers = append(peers, p)
+	}
+	if trim {
+		peers = withoutWorst(peers)
+	}
+	var sum frequencies
+	total := 0.0
+	for _, p := range peers {
+		for c := range sum {
+			sum[c] += p.counts[c]
+		}
+		total += p.total
+	}
+	return sum, total
+}
+
+// peerCount counts what one peer showed in a window.
+type peerCount struct {
+	counts     frequencies
+	total, bad float64
+}
+
+func countSamples(samples []sample, r *route) peerCount {
+	var p peerCount
+	for _, s := range samples {
+		if s.route != r {
+			continue
+		}
+		p.counts[s.category]++
+		p.total++
+		if s.category >= categoryExtreme {
+			p.bad++
+		}
+	}
+	return p
+}
+
+// withoutWorst leaves out the peers with the largest shares of bad samples.
+func withoutWorst(peers []peerCount) []peerCount {
+	slices.SortStableFunc(peers, func(a, b peerCount) int {
+		return cmp.Compare(a.bad/a.total, b.bad/b.total)
+	})
+	return peers[:len(peers)-int(peersTrimmed*float64(len(peers)))]
+}
--- a/pool/home.go
+++ b/pool/home.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"filbertmill.example/outcome"
+	"filbertmill.example/event"
 )
 
 // tickInterval is how often a busy home looks at what is due.
@@ -19,12 +19,17 @@
 	rng      *rand.Rand
 	targets  map[string]*target
 	// order lists the targets by name, so that decisions are reproducible.
-	order   []*target
-	running map[RequestID]*attempt
-	queue   queue
+	order      []*target
+	running    map[RequestID]*attempt
+	queue      queue
+	callers    callers
+	routes     map[string]*route
+	otherRoute *route
 	// adopted says that a first list of targets was taken.
 	adopted bool
-	ticked  time.Time
+	// doseCredit is the number of doses that normal starts have earned.
+	doseCredit float64
+	ticked     time.Time
 }
 
 // NewHome returns a Scheduler that counts the slots of each target exactly,
@@ -32,11 +37,14 @@
 // is meant to see all requests of its service.
 func NewHome(cfg Config, d Delegate, seed uint64) Scheduler {
 	return &home{
-		cfg:      cfg.withDefaults(),
-		delegate: d,
-		rng:      rand.New(rand.NewPCG(seed, 0)),
-		targets:  make(map[string]*target),
-		running:  make(map[RequestID]*attempt),
+		cfg:        cfg.withDefaults(),
+		delegate:   d,
+		rng:        rand.New(rand.NewPCG(seed, 0)),
+		targets:    make(map[string]*target),
+		running:    make(map[RequestID]*attempt),
+		routes:     make(map[string]*route),
+		otherRoute: newRoute(""),
+		doseCredit: 1,
 	}
 }
 
@@ -52,13 +60,15 @@
 	for _, listed := range targets {
 		h.list(now, listed)
 	}
+	h.sortTargets()
 	for _, t := range h.order {
-		if !t.listed {
-			h.leave(now, t)
+		if !t.listed || t.Leaving {
+			h.leave(now, t, RuleListed)
+		} else {
+			h.rejoin(now, t, RuleListed)
 		}
 	}
 	h.adopted = true
-	h.sortTargets()
 	h.dispatch(now)
 }
 
@@ -69,12 +79,9 @@
 		t = newTarget(now, listed, h.firstState())
 		h.targets[listed.Name] = t
 	}
-	t.limit.slots += listed.Slots - t.Slots
+	t.limit.slots = max(1, t.limit.slots+listed.Slots-t.Slots)
 	t.Target = listed
 	t.listed = true
-	if listed.Leaving {
-		h.leave(now, t)
-	}
 }
 
 // firstState returns the state of a target seen for the first time. Those of
@@ -94,146 +101,143 @@
 	slices.SortFunc(h.order, func(a, b *target) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// leave gives t no more work and lets what it holds finish.
-func (h *home) leave(_ time.Time, t *target) {
-	if ok, _ := t.machine.CanFire(triggerLeave); ok {
-		_ = t.machine.Fire(triggerLeave)
-	}
-}
-
-func (h *home) Submit(now time.Time, r Request) {
-	a := &attempt{Request: r, submitted: now}
-	if !r.Deadline.After(now) {
-		h.refuse(a, Refusal{Reason: outcome.ReasonTooLate})
-		return
-	}
-	if h.queue.len() >= h.cfg.QueueLimit {
-		h.refuse(a, Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: time.Second})
-		return
-	}
-	h.queue.push(a)
-	h.dispatch(now)
-}
-
-func (h *home) refuse(a *attempt, r Refusal) {
-	h.delegate.Refuse(a.ID, r)
-}
-
-func (h *home) Cancel(_ time.Time, id RequestID) {
-	h.queue.remove(id)
-}
-
 func (h *home) Finish(now time.Time, id RequestID, res Result) {
 	a := h.running[id]
 	if a == nil {
 		return
 	}
-	delete(h.running, id)
 	t := a.target
+	delete(h.running, id)
 	delete(t.running, id)
-	switch res.Verdict {
+	h.callers.ended(a.Caller)
+	t.discharge(a)
+	h.countSlots(now, t, res.Verdict)
+	h.learn(now, a, res)
+	if res.Leaving {
+		h.leave(now, t, RuleOwnSignal)
+	}
+	h.finishLeaving(now, t)
+	h.judge(now)
+	h.dispatch(now)
+}
+
+// countSlots adjusts t's limit to how it took an attempt.
+func (h *home) countSlots(now time.Time, t *target, v Verdict) {
+	switch v {
 	case VerdictRefused:
 		t.limit.refused(now, t.inFlight(), h.cfg.LimitRecovery)
+		h.note(now, t, event.KindShed, RuleTargetRefused, event.Evidence{
+			Threshold: float64(t.Slots), Score: float64(t.limit.slots), Wait: t.limit.pause,
+		})
 	case VerdictUnreachable:
 		t.limit.hold(now)
+		t.reach.refused = now
+		h.askReach(now, t)
+	case VerdictCancelled:
 	default:
 		t.limit.answered()
 	}
-	if res.Leaving {
-		h.leave(now, t)
+}
+
+// learn takes the end of an attempt as evidence about its route and target.
+func (h *home) learn(now time.Time, a *attempt, res Result) {
+	t := a.target
+	s := sample{
+		began: a.started, at: now, route: a.route, category: a.route.classify(res.Verdict, res.Latency),
+		verdict: res.Verdict, latency: res.Latency, id: a.ID,
+	}
+	if t.state == StateProbation {
+		if a.dose {
+			h.answerProbation(now, t, s)
+		}
+		return
+	}
+	if res.Verdict == VerdictAnswered && t.state == StateServing {
+		a.route.learn(res.Latency)
+	}
+	h.take(now, t, s)
+	if t.state == StateCold {
+		h.warm(now, t, s)
 	}
-	h.dispatch(now)
 }
 
-func (h *home) Observe(now time.Time, o Observation) {
-	if t := h.targets[o.Target]; t != nil && o.Leaving {
-		h.leave(now, t)
+// warm takes an answer of a cold target; one that answers like its peers on
+// all its slots is warm.
+func (h *home) warm(now time.Time, t *target, s sample) {
+	switch {
+	case s.category == categoryNone:
+		return
+	case s.bad():
+		t.good = 0
+	default:
+		t.good++
+	}
+	full := t.limit.slots >= t.Slots && t.good >= warmAnswers
+	overdue := t.good > 0 && now.Sub(t.since) >= h.cfg.WarmTime
+	if full || overdue {
+		h.fire(now, t, triggerWarm, RuleWarm, event.Evidence{Samples: t.good})
 	}
 }
 
-func (h *home) Absolve(time.Time, string, time.Time) {}
+// warmAnswers is the number of usual answers in a row that end the cold state.
+const warmAnswers = 4
 
 func (h *home) Tick(now time.Time) {
 	h.ticked = now
-	for _, t := range h.order {
-		t.limit.tick(now, t.Slots, h.cfg.LimitRecovery)
+	h.examineRunning(now)
+	h.reconsider(now)
+	h.judge(now)
+	for _, t := range slices.Clone(h.order) {
+		h.tickTarget(now, t)
 	}
 	h.dispatch(now)
 }
 
+// tickTarget does what is due in t's state.
+func (h *home) tickTarget(now time.Time, t *target) {
+	if t.state != StateCold || t.good > 0 {
+		t.limit.tick(now, t.Slots, h.cfg.LimitRecovery)
+	}
+	switch t.state {
+	case StateEjected:
+		h.tickEjected(now, t)
+	case StateProbation:
+		h.tickProbation(now, t)
+	case StateDraining, StateGone:
+		h.tickLeaving(now, t)
+	case StateCold, StateServing, StateSuspected:
+		h.decideReach(now, t)
+	}
+}
+
 func (h *home) Next() time.Time {
-	if h.queue.len() == 0 && len(h.running) == 0 {
+	if h.idle() {
 		return time.Time{}
 	}
 	return h.ticked.Add(tickInterval)
 }
 
-// dispatch starts what can start.
-func (h *home) dispatch(now time.Time) {
-	for i := 0; i < len(h.queue.waiting); {
-		a := h.queue.waiting[i]
-		if !a.Deadline.After(now) {
-			h.queue.remove(a.ID)
-			h.refuse(a, Refusal{Reason: outcome.ReasonTooLate})
-			continue
-		}
-		t := h.choose(now, a)
-		if t == nil {
-			i++
-			continue
-		}
-		h.queue.remove(a.ID)
-		h.start(now, a, t)
+// idle says that time alone changes nothing.
+func (h *home) idle() bool {
+	if h.queue.len() > 0 || len(h.running) > 0 {
+		return false
 	}
-}
-
-// choose returns the target with the most free slots that may run a, or nil.
-func (h *home) choose(now time.Time, a *attempt) *target {
-	var best *target
-	ties := 0
 	for _, t := range h.order {
-		if !h.mayRun(now, a, t) {
-			continue
-		}
-		switch free := t.capacity() - t.inFlight(); {
-		case best == nil || free > best.capacity()-best.inFlight():
-			best, ties = t, 1
-		case free == best.capacity()-best.inFlight():
-			ties++
-			if h.rng.IntN(ties) == 0 {
-				best = t
-			}
+		if t.state != StateServing || t.limit.slots < t.Slots {
+			return false
 		}
 	}
-	return best
-}
-
-// mayRun says whether t may run a now.
-func (h *home) mayRun(now time.Time, a *attempt, t *target) bool {
-	return (t.state == StateServing || t.state == StateCold) &&
-		t.inFlight() < t.capacity() &&
-		!now.Before(t.limit.pausedUntil) &&
-		!slices.Contains(a.Exclude, t.Name)
-}
-
-func (h *home) start(now time.Time, a *attempt, t *target) {
-	a.started = now
-	a.target = t
-	t.running[a.ID] = a
-	h.running[a.ID] = a
-	h.delegate.Start(a.ID, t.Name)
+	return true
 }
 
 func (h *home) Snapshot(time.Time) Snapshot {
 	snap := Snapshot{
-		Service:    h.cfg.Service,
-		Queued:     h.queue.len(),
-		FloorSlots: h.cfg.FloorSlots,
+		Service:      h.cfg.Service,
+		Queued:       h.queue.len(),
+		HealthySlots: h.healthySlots(nil),
+		FloorSlots:   h.cfg.FloorSlots,
 	}
 	for _, t := range h.order {
-		if t.state == StateServing {
-			snap.HealthySlots += t.capacity()
-		}
 		snap.Targets = append(snap.Targets, TargetStatus{
 			Name:     t.Name,
 			State:    string(t.state),
--- /dev/null
+++ b/pool/internal/drive/report.go
@@ -0,0 +1,225 @@
+package drive
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+	"filbertmill.example/pool"
+)
+
+// conditionTail is how long after a condition an ejection still counts as
+// caused by it.
+const conditionTail = 5 * time.Second
+
+// Ejection is one decision to take a target out of service.
+type Ejection struct {
+	// At is the time from the start of the trace.
+	At     time.Duration
+	Target string
+	Rule   string
+	// Node is the number of the node that decided.
+	Node int
+	// False says that the target was in no condition of its own.
+	False bool
+	// Healthy is the healthy capacity after the decision.
+	Healthy int
+}
+
+// Report is what a run showed.
+type Report struct {
+	trace Trace
+	// Offered, InTime, Refused and Failed count requests.
+	Offered, InTime, Refused, Failed int
+	// Reasons counts the requests without an answer by reason.
+	Reasons map[outcome.Reason]int
+	// Waits holds the waits before the first start, by route.
+	Waits map[string][]time.Duration
+	// InTimeByCaller counts answers in time by caller.
+	InTimeByCaller map[string]int
+	// InTimeByRoute counts answers in time by route.
+	InTimeByRoute map[string]int
+	// Holds holds how long each refused request was held before it was told.
+	Holds []time.Duration
+	// Useful is the slot time that went to answers given in time; Wasted is
+	// the slot time of other exchanges.
+	Useful, Wasted time.Duration
+	// Probes counts probes, Sheds the attempts that targets refused.
+	Probes, Sheds int
+	Ejections     []Ejection
+	Events        []event.Event
+	// FloorViolations counts ejections that left less than the floor.
+	FloorViolations int
+	// Final holds the targets' states at the end, as the first node sees them.
+	Final map[string]string
+	// sends holds when each target was given work.
+	sends map[string][]time.Duration
+	nodes []*node
+}
+
+func newReport(tr Trace) *Report {
+	return &Report{
+		trace:          tr,
+		Reasons:        make(map[outcome.Reason]int),
+		Waits:          make(map[string][]time.Duration),
+		InTimeByCaller: make(map[string]int),
+		InTimeByRoute:  make(map[string]int),
+		Final:          make(map[string]string),
+		sends:          make(map[string][]time.Duration),
+	}
+}
+
+func (p *Report) offered(*request) { p.Offered++ }
+
+func (p *Report) waited(req *request, wait time.Duration) {
+	p.Waits[req.arrival.Route] = append(p.Waits[req.arrival.Route], wait)
+}
+
+func (p *Report) sent(target string, now time.Duration) {
+	p.sends[target] = append(p.sends[target], now)
+}
+
+func (p *Report) refused(req *request, reason outcome.Reason, now time.Duration) {
+	p.Refused++
+	p.Reasons[reason]++
+	p.Holds = append(p.Holds, now-req.arrived)
+}
+
+func (p *Report) failed(_ *request, reason outcome.Reason, _ time.Duration) {
+	p.Failed++
+	p.Reasons[reason]++
+}
+
+func (p *Report) answered(req *request, now time.Duration) {
+	if now > req.deadline {
+		p.Failed++
+		return
+	}
+	p.InTime++
+	p.InTimeByCaller[req.arrival.Caller]++
+	p.InTimeByRoute[req.arrival.Route]++
+}
+
+// worked accounts the slot time of an attempt.
+func (p *Report) worked(a *attempt, v pool.Verdict, now time.Duration) {
+	switch v {
+	case pool.VerdictRefused:
+		p.Sheds++
+	case pool.VerdictUnreachable:
+	case pool.VerdictAnswered:
+		p.Useful += a.service
+	default:
+		p.Wasted += now - a.began
+	}
+}
+
+func (p *Report) event(n *node, e event.Event) {
+	if e.Kind != event.KindRefusal {
+		p.Events = append(p.Events, e)
+	}
+	if e.Kind != event.KindEjection {
+		return
+	}
+	at := n.run.now
+	p.Ejections = append(p.Ejections, Ejection{
+		At:      at,
+		Target:  e.Target,
+		Rule:    e.Rule,
+		Node:    slices.Index(n.run.nodes, n),
+		False:   !p.suffers(e.Target, at),
+		Healthy: e.Evidence.HealthySlots,
+	})
+}
+
+// suffers says whether the target is, or lately was, in a condition of its own.
+func (p *Report) suffers(target string, at time.Duration) bool {
+	return slices.ContainsFunc(p.trace.Conditions, func(c Condition) bool {
+		over := c.To != 0 && at > time.Duration(c.To)+conditionTail
+		return c.Target == target && at >= time.Duration(c.From) && !over
+	})
+}
+
+func (p *Report) finish(r *run) {
+	p.nodes = r.nodes
+	for _, e := range p.Ejections {
+		if r.opts.Nodes == 1 && e.Healthy < p.trace.FloorSlots {
+			p.FloorViolations++
+		}
+	}
+	for _, t := range r.nodes[0].scheduler.Snapshot(r.clock()).Targets {
+		p.Final[t.Name] = t.State
+	}
+}
+
+// FalseEjections counts the ejections of targets without a condition of their own.
+func (p *Report) FalseEjections() int {
+	n := 0
+	for _, e := range p.Ejections {
+		if e.False {
+			n++
+		}
+	}
+	return n
+}
+
+// Out returns when more than half of the nodes had ejected the target at
+// least once since the given time, and how many requests it was given until
+// then. ok is false if that never happened.
+func (p *Report) Out(target string, since time.Duration) (after time.Duration, own int, ok bool) {
+	nodes := make(map[int]bool)
+	for _, e := range p.Ejections {
+		if e.Target != target || e.At < since {
+			continue
+		}
+		nodes[e.Node] = true
+		if 2*len(nodes) > len(p.nodes) {
+			return e.At - since, p.sentBetween(target, since, e.At), true
+		}
+	}
+	return 0, p.sentBetween(target, since, time.Hour), false
+}
+
+// Suspected returns when the first node took the target out of the serving
+// state since the given time, and how many requests it was given until then.
+func (p *Report) Suspected(target string, since time.Duration) (after time.Duration, own int, ok bool) {
+	for _, e := range p.Events {
+		at := e.Time.Sub(epoch)
+		if e.Target == target && at >= since && e.From == string(pool.StateServing) && e.To != "" {
+			return at - since, p.sentBetween(target, since, at), true
+		}
+	}
+	return 0, p.sentBetween(target, since, time.Hour), false
+}
+
+func (p *Report) sentBetween(target string, from, to time.Duration) int {
+	n := 0
+	for _, at := range p.sends[target] {
+		if at >= from && at <= to {
+			n++
+		}
+	}
+	return n
+}
+
+// Rules returns the rules of the target's ejections, in order.
+func (p *Report) Rules(target string) string {
+	var rules []string
+	for _, e := range p.Ejections {
+		if e.Target == target {
+			rules = append(rules, e.Rule)
+		}
+	}
+	return strings.Join(rules, ",")
+}
+
+// Quantile returns the given quantile of ds, or zero if there are none.
+func Quantile(ds []time.Duration, q float64) time.Duration {
+	if len(ds) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(ds)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
--- /dev/null
+++ b/pool/internal/drive/run.go
@@ -0,0 +1,155 @@
+package drive
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"filbertmill.example/event"
+	"filbertmill.example/pool"
+)
+
+const (
+	// network is the time that a connection and an answer spend on the way.
+	network = time.Millisecond
+	// probeTime is the time that a probe takes.
+	probeTime = 25 * time.Millisecond
+	// crashTime is how long a target that was crashed refuses connections.
+	crashTime = time.Second
+	// attemptLimit is the most attempts of one request.
+	attemptLimit = 3
+	// retryShare is the number of retries that each request earns.
+	retryShare = 0.1
+	// listInterval is how often the list of targets is read.
+	listInterval = time.Second
+	// drainTime is how long a run goes on after the last arrival.
+	drainTime = 5 * time.Second
+)
+
+// epoch is the virtual time at which every run begins.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Options say how a trace is run.
+type Options struct {
+	// Nodes is the number of schedulers; requests arrive at each at random.
+	// The home variant has one.
+	Nodes int
+	// New makes a scheduler.
+	New func(cfg pool.Config, d pool.Delegate, seed uint64) pool.Scheduler
+	// Config holds the settings but for Service and FloorSlots.
+	Config pool.Config
+	Seed   uint64
+	// Absolve has poison requests absolve the targets they crash, after a delay.
+	Absolve bool
+	// Check, if set, is called after each call to a scheduler.
+	Check func(s pool.Scheduler, now time.Time, events []event.Event)
+}
+
+// Home returns the options of the home variant.
+func Home(seed uint64) Options {
+	return Options{Nodes: 1, New: pool.NewHome, Seed: seed}
+}
+
+// Direct returns the options of the direct variant on a fleet of 32 nodes.
+func Direct(seed uint64) Options {
+	return Options{Nodes: 32, New: pool.NewDirect, Seed: seed}
+}
+
+// action is something due at a virtual time.
+type action struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type agenda []action
+
+func (a agenda) Len() int      { return len(a) }
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].seq < a[j].seq)
+}
+func (a *agenda) Push(x any) { *a = append(*a, x.(action)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// run is the state of one run.
+type run struct {
+	trace   Trace
+	opts    Options
+	rng     *rand.Rand
+	agenda  agenda
+	seq     int
+	now     time.Duration
+	end     time.Duration
+	nodes   []*node
+	targets map[string]*target
+	tokens  float64
+	nextID  pool.RequestID
+	report  *Report
+}
+
+// Run plays a trace and reports what happened.
+func Run(tr Trace, opts Options) *Report {
+	r := &run{
+		trace:   tr,
+		opts:    opts,
+		rng:     rand.New(rand.NewPCG(opts.Seed, 1)),
+		targets: make(map[string]*target),
+		report:  newReport(tr),
+	}
+	for i := range tr.Targets {
+		t := &target{name: TargetName(i), slots: tr.Slots}
+		r.targets[t.name] = t
+	}
+	if n := len(tr.Arrivals); n > 0 {
+		r.end = time.Duration(tr.Arrivals[n-1].At) + drainTime
+	}
+	r.startNodes()
+	for _, a := range tr.Arrivals {
+		r.after(time.Duration(a.At), func() { r.arrive(a) })
+	}
+	r.loop()
+	r.report.finish(r)
+	return r.report
+}
+
+// after has do called once the given time has passed.
+func (r *run) after(d time.Duration, do func()) {
+	r.seq++
+	heap.Push(&r.agenda, action{at: r.now + d, seq: r.seq, do: do})
+}
+
+func (r *run) loop() {
+	for len(r.agenda) > 0 {
+		next := heap.Pop(&r.agenda).(action)
+		if next.at > r.end {
+			return
+		}
+		r.now = next.at
+		next.do()
+	}
+}
+
+// clock returns the virtual time as schedulers see it.
+func (r *run) clock() time.Time { return epoch.Add(r.now) }
+
+// active returns the condition of the given kind that the target is in.
+func (r *run) active(name string, kind Kind) (Condition, bool) {
+	for _, c := range r.trace.Conditions {
+		hit := c.Kind == kind && (c.Target == name || c.Target == "*")
+		if hit && r.now >= time.Duration(c.From) && (c.To == 0 || r.now < time.Duration(c.To)) {
+			return c, true
+		}
+	}
+	return Condition{}, false
+}
+
+// happens says whether a condition with a share hits the next request.
+func (r *run) happens(name string, kind Kind) bool {
+	c, ok := r.active(name, kind)
+	return ok && r.rng.Float64() < c.Value
+}
--- /dev/null
+++ b/pool/judge.go
@@ -0,0 +1,185 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filbertmill.example/event"
+)
+
+const (
+	// clearScore is the score below which a suspected target is cleared.
+	clearScore = 2
+	// suspicionTime is the time without new evidence after which a suspicion ends.
+	suspicionTime = 10 * time.Second
+)
+
+// verdictOf is a target with what speaks against it.
+type verdictOf struct {
+	target  *target
+	finding finding
+}
+
+// take adds a piece of evidence about t.
+func (h *home) take(now time.Time, t *target, s sample) {
+	if s.category == categoryNone {
+		return
+	}
+	t.addSample(s)
+	if !s.hung && (t.healthy() || t.state == StateCold) {
+		s.route.tallyOf(t).add(now, s.category)
+	}
+	if s.bad() || t.state == StateSuspected {
+		t.dirty = true
+	}
+}
+
+func (r *route) tallyOf(t *target) *tally {
+	if r.seen[t] == nil {
+		r.seen[t] = &tally{}
+	}
+	return r.seen[t]
+}
+
+// judge decides about the targets with new evidence, the worst first.
+func (h *home) judge(now time.Time) {
+	var found []verdictOf
+	for _, t := range h.order {
+		if !t.dirty {
+			continue
+		}
+		t.dirty = false
+		if t.judged() {
+			found = append(found, verdictOf{t, h.examine(now, t)})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b verdictOf) int {
+		return cmp.Compare(b.finding.score, a.finding.score)
+	})
+	for _, v := range found {
+		h.decide(now, v.target, v.finding)
+	}
+}
+
+// judged says whether evidence of normal work decides about t's state.
+func (t *target) judged() bool {
+	return t.state == StateServing || t.state == StateCold || t.state == StateSuspected
+}
+
+// decide acts on what was found about t.
+func (h *home) decide(now time.Time, t *target, f finding) {
+	caution := t.caution(now)
+	suspicion := h.cfg.SuspicionScore + caution
+	ejection := h.cfg.EjectionScore + caution
+	switch {
+	case f.score >= ejection && !f.thin:
+		h.convict(now, t, f, ejection)
+	case f.score >= suspicion:
+		h.suspect(now, t, f, suspicion)
+	case t.state == StateSuspected && f.score < clearScore:
+		h.clear(now, t, f)
+	case f.alone >= ejection && f.peersAlike:
+		h.holdCommon(now, t, f, ejection)
+	}
+}
+
+// convict ejects t unless the floor forbids it.
+func (h *home) convict(now time.Time, t *target, f finding, threshold float64) {
+	h.askReach(now, t)
+	if !h.floorAllows(t) {
+		h.suspect(now, t, f, threshold)
+		h.holdFloor(now, t, f, threshold)
+		return
+	}
+	h.eject(now, t, f.rule, evidenceOf(f, threshold))
+}
+
+// suspect takes t out of the healthy capacity.
+func (h *home) suspect(now time.Time, t *target, f finding, threshold float64) {
+	t.suspectedAt = now
+	if t.state == StateSuspected {
+		return
+	}
+	h.fire(now, t, triggerSuspect, f.rule, evidenceOf(f, threshold))
+	h.askReach(now, t)
+}
+
+// clear ends the suspicion against t.
+func (h *home) clear(now time.Time, t *target, f finding) {
+	t.held = false
+	h.fire(now, t, triggerClear, RuleEvidenceFaded, evidenceOf(f, clearScore))
+}
+
+// holdFloor records that t stays although it is convicted.
+func (h *home) holdFloor(now time.Time, t *target, f finding, threshold float64) {
+	if t.held && now.Before(t.holdNoted.Add(holdInterval)) {
+		return
+	}
+	t.held = true
+	t.holdNoted = now
+	ev := evidenceOf(f, threshold)
+	ev.Detail = "convicted by " + f.rule + "; stays because the floor would not hold without it"
+	h.note(now, t, event.KindFloorHeld, RuleFloor, ev)
+}
+
+// holdCommon records that t would be convicted did its peers not suffer alike.
+func (h *home) holdCommon(now time.Time, t *target, f finding, threshold float64) {
+	if now.Before(t.holdNoted.Add(holdInterval)) {
+		return
+	}
+	t.holdNoted = now
+	ev := evidenceOf(f, threshold)
+	ev.Detail = "peers suffer alike in the same window"
+	h.note(now, t, event.KindCommonCause, RuleCommonCause, ev)
+}
+
+// reconsider ends suspicions that get no new evidence, and tries again to
+// eject targets that the floor held.
+func (h *home) reconsider(now time.Time) {
+	for _, t := range h.order {
+		if t.state != StateSuspected {
+			continue
+		}
+		if t.held && h.floorAllows(t) {
+			t.dirty = true
+		}
+		if now.Sub(t.lastSample()) >= suspicionTime && now.Sub(t.suspectedAt) >= suspicionTime {
+			t.samples = nil
+			h.clear(now, t, finding{})
+		}
+	}
+}
+
+// examineRunning charges attempts whose answer is overdue to their targets.
+func (h *home) examineRunning(now time.Time) {
+	for _, t := range h.order {
+		for _, id := range sortedIDs(t.running) {
+			h.charge(now, t, t.running[id])
+		}
+	}
+}
+
+// charge adds the evidence of an attempt that is still running.
+func (h *home) charge(now time.Time, t *target, a *attempt) {
+	age := now.Sub(a.started)
+	c := a.route.classifyUnanswered(age)
+	if c <= a.charged {
+		return
+	}
+	t.discharge(a)
+	a.charged = c
+	h.take(now, t, sample{
+		began: a.started, at: now, route: a.route, category: c, verdict: VerdictTimeout,
+		hung: true, latency: age, id: a.ID,
+	})
+}
+
+func sortedIDs(running map[RequestID]*attempt) []RequestID {
+	ids := make([]RequestID, 0, len(running))
+	for id := range running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/pool/measure_test.go
@@ -0,0 +1,205 @@
+package pool_test
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/pool/internal/drive"
+)
+
+const (
+	seeds   = 20
+	faultAt = 20 * time.Second
+	msecond = time.Millisecond
+	workers = 4
+)
+
+// service is an association-sized service: 8 targets with 2 slots.
+func service(name string) drive.Trace {
+	return drive.Trace{Name: name, Targets: 8, Slots: 2, FloorSlots: 8}
+}
+
+func status(rate float64, from, to time.Duration) drive.Load {
+	return drive.Load{Route: "status", Rate: rate, From: from, To: to, Work: 40 * msecond, Timeout: 2 * time.Second, Callers: 20}
+}
+
+func lookup(rate float64, from, to time.Duration) drive.Load {
+	return drive.Load{Route: "lookup", Rate: rate, From: from, To: to, Work: 80 * msecond, Sigma: 0.5, Timeout: 2 * time.Second, Callers: 20}
+}
+
+// records is long work: a hundred times the time of status.
+func records(rate float64, to time.Duration) drive.Load {
+	return drive.Load{Route: "records", Rate: rate, To: to, Work: 4 * time.Second, Timeout: time.Minute}
+}
+
+func noise() drive.Condition {
+	return drive.Condition{Target: "*", Kind: drive.KindFailing, Value: 0.002}
+}
+
+func fault(kind drive.Kind, value float64) drive.Condition {
+	return drive.Condition{Target: "t03", Kind: kind, From: drive.Duration(faultAt), Value: value}
+}
+
+func median[T int | time.Duration](xs []T) T {
+	slices.Sort(xs)
+	return (xs[(len(xs)-1)/2] + xs[len(xs)/2]) / 2
+}
+
+// overSeeds runs the trace that make returns for each seed.
+func overSeeds(build func(seed uint64) drive.Trace, opts func(uint64) drive.Options) []*drive.Report {
+	reports := make([]*drive.Report, seeds)
+	var wg sync.WaitGroup
+	next := make(chan int)
+	for range workers {
+		wg.Go(func() {
+			for i := range next {
+				seed := uint64(i + 1)
+				reports[i] = drive.Run(build(seed), opts(seed))
+			}
+		})
+	}
+	for i := range seeds {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+	return reports
+}
+
+// variants are run beside each other on the same traces.
+var variants = []struct {
+	name string
+	opts func(uint64) drive.Options
+}{{"home", drive.Home}, {"direct", drive.Direct}}
+
+// detection is how a fault was found over all seeds.
+type detection struct {
+	after time.Duration
+	own   int
+	// doubted is the number of its requests until it left the serving state.
+	doubted int
+	missed  int
+	falses  int
+	floor   int
+}
+
+// detect measures how the fault of t03 is found at the given rate.
+func detect(f drive.Condition, rate float64, span time.Duration, opts func(uint64) drive.Options) detection {
+	var d detection
+	var afters []time.Duration
+	var owns, doubted []int
+	build := func(seed uint64) drive.Trace {
+		tr := service("detection")
+		tr.Conditions = []drive.Condition{f, noise()}
+		tr.Arrivals = drive.Generate(seed, status(rate/2, 0, span), lookup(rate/2, 0, span))
+		return tr
+	}
+	for _, rep := range overSeeds(build, opts) {
+		after, own, ok := rep.Out("t03", faultAt)
+		if !ok {
+			d.missed++
+			after, own = time.Hour, never
+		}
+		afters, owns = append(afters, after), append(owns, own)
+		_, first, ok := rep.Suspected("t03", faultAt)
+		if !ok {
+			first = never
+		}
+		doubted = append(doubted, first)
+		d.falses += rep.FalseEjections()
+		d.floor += rep.FloorViolations
+	}
+	d.after, d.own, d.doubted = median(afters), median(owns), median(doubted)
+	return d
+}
+
+// never stands for the requests of a target that was not found.
+const never = 1 << 20
+
+func TestMeasureDetection(t *testing.T) {
+	faults := []struct {
+		condition drive.Condition
+		bound     bool
+	}{
+		{fault(drive.KindFailing, 0.3), true},
+		{fault(drive.KindSlow, 5), true},
+		{fault(drive.KindTruncating, 0.3), false},
+		{fault(drive.KindHanging, 1), false},
+		{fault(drive.KindHanging, 0.3), false},
+		{fault(drive.KindRefusing, 0), false},
+		{fault(drive.KindLink, 0), false},
+	}
+	loads := []struct {
+		name  string
+		rate  float64
+		span  time.Duration
+		after time.Duration
+		own   int
+	}{
+		{"low load", 8, time.Minute, time.Hour, 12},
+		{"crest", 350, 25 * time.Second, 2 * time.Second, never},
+	}
+	for _, load := range loads {
+		for _, f := range faults {
+			for _, v := range variants {
+				d := detect(f.condition, load.rate, load.span, v.opts)
+				t.Logf("%-8s %-10s %.1f %-6s serving for %d own requests; ejected after %v, %d own requests; missed %d of %d; false ejections %d",
+					load.name, f.condition.Kind, f.condition.Value, v.name, d.doubted, d.after.Round(msecond), d.own, d.missed, seeds, d.falses)
+				if v.name != "home" {
+					continue
+				}
+				c := qt.New(t)
+				c.Check(d.floor, qt.Equals, 0)
+				c.Check(d.falses, qt.Equals, 0)
+				if f.bound {
+					c.Check(d.after <= load.after, qt.IsTrue)
+					c.Check(d.own <= load.own, qt.IsTrue)
+				}
+			}
+		}
+	}
+}
+
+func TestMeasureFalseEjections(t *testing.T) {
+	span := time.Minute
+	slow := drive.Condition{Target: "*", Kind: drive.KindSlow, Value: 5, From: drive.Duration(faultAt)}
+	hang := drive.Condition{Target: "*", Kind: drive.KindHanging, Value: 1, From: drive.Duration(faultAt)}
+	cases := []struct {
+		desc       string
+		conditions []drive.Condition
+		loads      []drive.Load
+	}{
+		{"quiet", nil, []drive.Load{status(8, 0, span), lookup(8, 0, span)}},
+		{"busy", nil, []drive.Load{status(50, 0, span), lookup(50, 0, span)}},
+		{"common slowness, quiet", []drive.Condition{slow}, []drive.Load{status(8, 0, span), lookup(8, 0, span)}},
+		{"common slowness, busy", []drive.Condition{slow}, []drive.Load{status(50, 0, span), lookup(50, 0, span)}},
+		{"common hanging", []drive.Condition{hang}, []drive.Load{status(50, 0, span), lookup(50, 0, span)}},
+		{"long work", nil, []drive.Load{status(20, 0, span), records(2.2, span)}},
+		{"crest", nil, []drive.Load{
+			status(60, 0, span), lookup(60, 0, span),
+			status(120, faultAt, 50*time.Second), lookup(120, faultAt, 50*time.Second),
+		}},
+	}
+	for _, tc := range cases {
+		for _, v := range variants {
+			falses := 0
+			build := func(seed uint64) drive.Trace {
+				tr := service(tc.desc)
+				tr.Conditions = append([]drive.Condition{noise()}, tc.conditions...)
+				tr.Arrivals = drive.Generate(seed, tc.loads...)
+				return tr
+			}
+			for _, rep := range overSeeds(build, v.opts) {
+				falses += rep.FalseEjections()
+			}
+			t.Logf("%-24s %-6s false ejections %d over %d seeds", tc.desc, v.name, falses, seeds)
+			if v.name == "home" {
+				qt.Check(t, falses, qt.Equals, 0, qt.Commentf(tc.desc))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pool/route.go
@@ -0,0 +1,95 @@
+package pool
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// routeLimit bounds the routes that are learned one by one; further ones
+	// share the statistics of one unnamed route that is never judged.
+	routeLimit = 1024
+	// latencyWindow is the number of latencies kept for a route.
+	latencyWindow = 256
+	// routeKnown is the number of answers after which a route's latency is known.
+	routeKnown = 32
+	// quantileRefresh is the number of answers between two computations of
+	// the quantiles.
+	quantileRefresh = 16
+	// meanWeight is the weight of the newest answer in the mean.
+	meanWeight = 1.0 / 32
+)
+
+// route is what the work of one route has shown, on all targets together.
+type route struct {
+	name      string
+	latencies []time.Duration
+	// next is the place of the next latency once the window is full.
+	next  int
+	count int
+	// median, high and tail are the quantiles 0.5, 0.8 and 0.95.
+	median, high, tail time.Duration
+	// mean is the moving mean of the latency.
+	mean time.Duration
+	// seen counts the categories of the work by target.
+	seen map[*target]*tally
+}
+
+func newRoute(name string) *route {
+	return &route{name: name, seen: make(map[*target]*tally)}
+}
+
+// known says that enough was seen to compare latencies.
+func (r *route) known() bool { return r.name != "" && r.tail > 0 }
+
+// learn takes the latency of one whole answer.
+func (r *route) learn(latency time.Duration) {
+	if len(r.latencies) < latencyWindow {
+		r.latencies = append(r.latencies, latency)
+	} else {
+		r.latencies[r.next] = latency
+		r.next = (r.next + 1) % latencyWindow
+	}
+	r.count++
+	r.learnMean(latency)
+	if r.count%quantileRefresh == 0 && r.count >= routeKnown {
+		r.refresh()
+	}
+}
+
+func (r *route) learnMean(latency time.Duration) {
+	weight := max(meanWeight, 1/float64(r.count))
+	r.mean += time.Duration(weight * float64(latency-r.mean))
+}
+
+// refresh computes the quantiles.
+func (r *route) refresh() {
+	sorted := slices.Clone(r.latencies)
+	slices.Sort(sorted)
+	n := len(sorted)
+	r.median = sorted[n/2]
+	r.high = sorted[n*8/10]
+	r.tail = sorted[n*95/100]
+}
+
+// routeOf returns the statistics of the named route.
+func (h *home) routeOf(name string) *route {
+	r := h.routes[name]
+	if r != nil {
+		return r
+	}
+	if len(h.routes) >= routeLimit {
+		return h.otherRoute
+	}
+	r = newRoute(name)
+	h.routes[name] = r
+	return r
+}
+
+// forget drops what the routes hold about t.
+func (h *home) forget(t *target) {
+	for _, r := range h.routes {
+		delete(r.seen, t)
+	}
+	delete(h.otherRoute.seen, t)
+}
--- /dev/null
+++ b/pool/sample.go
@@ -0,0 +1,135 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+// category classes an attempt by what is usual on its route.
+type category uint8
+
+const (
+	// categoryNone carries no evidence.
+	categoryNone category = iota
+	// categoryAnswered is a whole answer on a route whose latency is not known.
+	categoryAnswered
+	// categoryFast to categoryHigh lie below the quantiles 0.5, 0.8 and 0.95.
+	categoryFast
+	categoryMiddle
+	categoryHigh
+	// categoryTail lies above the quantile 0.95.
+	categoryTail
+	// categoryExtreme lies above extremeFactor times the quantile 0.95.
+	categoryExtreme
+	// categoryFailed has no whole answer, or one that says the server erred.
+	categoryFailed
+	numCategories
+)
+
+const (
+	// extremeFactor and hungFactor are multiples of a route's quantile 0.95
+	// at which an attempt counts as extreme and, while unanswered, as hung.
+	extremeFactor = 2
+	hungFactor    = 5
+	// hungMin is the least age of an attempt that counts as hung.
+	hungMin = 100 * time.Millisecond
+	// sampleLimit and sampleAge bound the evidence kept for a target.
+	sampleLimit = 64
+	sampleAge   = time.Minute
+	// tallyHalfLife is the time in which a tally fades by half.
+	tallyHalfLife = 30 * time.Second
+)
+
+// sample is one piece of evidence about a target.
+type sample struct {
+	// began is when the attempt started, at when the sample was taken.
+	began    time.Time
+	at       time.Time
+	route    *route
+	category category
+	verdict  Verdict
+	// hung says that the attempt had not ended.
+	hung    bool
+	latency time.Duration
+	// id is the attempt that the sample is about.
+	id RequestID
+}
+
+// ratio returns the latency in multiples of what is usual on the route.
+func (s sample) ratio() float64 {
+	return float64(s.latency) / float64(max(1, s.route.median))
+}
+
+// bad says that the sample speaks against the target.
+func (s sample) bad() bool { return s.category >= categoryTail }
+
+// tally counts categories, with older counts fading.
+type tally struct {
+	counts [numCategories]float64
+	total  float64
+	at     time.Time
+}
+
+// fade ages the counts to now.
+func (t *tally) fade(now time.Time) {
+	if t.total > 0 && now.After(t.at) {
+		keep := math.Exp2(-float64(now.Sub(t.at)) / float64(tallyHalfLife))
+		for i := range t.counts {
+			t.counts[i] *= keep
+		}
+		t.total *= keep
+	}
+	t.at = now
+}
+
+func (t *tally) add(now time.Time, c category) {
+	t.fade(now)
+	t.counts[c]++
+	t.total++
+}
+
+// classify returns the category of an attempt on r that ended with the
+// verdict, or is still unanswered, after the given time.
+func (r *route) classify(v Verdict, age time.Duration) category {
+	switch v {
+	case VerdictServerError, VerdictUnreachable, VerdictReset, VerdictTruncated:
+		return categoryFailed
+	case VerdictTimeout, VerdictCancelled:
+		return r.classifyUnanswered(age)
+	case VerdictAnswered:
+		return r.classifyLatency(age)
+	default:
+		return categoryNone
+	}
+}
+
+// classifyLatency returns the category of a whole answer.
+func (r *route) classifyLatency(latency time.Duration) category {
+	switch {
+	case !r.known():
+		return categoryAnswered
+	case latency <= r.median:
+		return categoryFast
+	case latency <= r.high:
+		return categoryMiddle
+	case latency <= r.tail:
+		return categoryHigh
+	case latency <= extremeFactor*r.tail:
+		return categoryTail
+	default:
+		return categoryExtreme
+	}
+}
+
+// classifyUnanswered returns the category of an attempt that has no answer
+// after the given time; nothing below the usual says anything.
+func (r *route) classifyUnanswered(age time.Duration) category {
+	switch {
+	case !r.known() || age <= extremeFactor*r.tail:
+		return categoryNone
+	case age >= max(hungFactor*r.tail, hungMin):
+		return categoryFailed
+	default:
+		return categoryExtreme
+	}
+}
--- a/pool/target.go
+++ b/pool/target.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/qmuntal/stateless"
@@ -17,6 +18,25 @@
 	listed  bool
 	running map[RequestID]*attempt
 	limit   limit
+
+	// samples is the evidence on its work, oldest first.
+	samples []sample
+	// dirty says that the evidence has to be looked at.
+	dirty bool
+	// suspectedAt is when the evidence last made it a suspect.
+	suspectedAt time.Time
+	// held says that only the floor keeps it from ejection; holdNoted is when
+	// that or a common cause was last recorded.
+	held      bool
+	holdNoted time.Time
+
+	reach     reach
+	ejection  ejection
+	probation probation
+	// good is the number of good answers in a row while cold.
+	good int
+	// ownSignal is when the target last announced that it is leaving.
+	ownSignal time.Time
 }
 
 // newTarget returns a target in the given state.
@@ -30,6 +50,9 @@
 		limit:   limit{slots: listed.Slots},
 	}
 	t.machine = newMachine(&t.state)
+	if state == StateCold {
+		t.ramp(now)
+	}
 	return t
 }
 
@@ -44,3 +67,62 @@
 	}
 	return c
 }
+
+// free returns the number of slots that an attempt could take now.
+func (t *target) free(now time.Time) int {
+	if now.Before(t.limit.pausedUntil) {
+		return 0
+	}
+	return max(0, t.capacity()-t.inFlight())
+}
+
+// ramp has the target begin with one slot.
+func (t *target) ramp(now time.Time) {
+	t.limit.slots = min(1, t.Slots)
+	t.limit.raiseAt = now.Add(time.Second)
+	t.good = 0
+}
+
+// addSample keeps s, dropping the oldest sample when there are too many.
+func (t *target) addSample(s sample) {
+	if len(t.samples) >= sampleLimit {
+		t.samples = slices.Delete(t.samples, 0, 1)
+	}
+	t.samples = append(t.samples, s)
+}
+
+// discharge drops the evidence of an attempt that was still running.
+func (t *target) discharge(a *attempt) {
+	if a.charged == categoryNone {
+		return
+	}
+	t.samples = slices.DeleteFunc(t.samples, func(s sample) bool { return s.hung && s.id == a.ID })
+}
+
+// evidence returns the samples that are not too old.
+func (t *target) evidence(now time.Time) []sample {
+	for i, s := range t.samples {
+		if now.Sub(s.at) < sampleAge {
+			return t.samples[i:]
+		}
+	}
+	return nil
+}
+
+// samplesSince returns the samples taken since the given time.
+func (t *target) samplesSince(since time.Time) []sample {
+	for i, s := range t.samples {
+		if !s.at.Before(since) {
+			return t.samples[i:]
+		}
+	}
+	return nil
+}
+
+// lastSample returns when evidence was last added.
+func (t *target) lastSample() time.Time {
+	if len(t.samples) == 0 {
+		return t.since
+	}
+	return t.samples[len(t.samples)-1].at
+}
