exchange: one HTTP request on one connection, with its exact end

Cause: hertz's client retries, pools and times out on its own, which hides whether a request was written. Change: own connection handling over hertz's codec.

--- /dev/null
+++ b/exchange/client.go
@@ -0,0 +1,272 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/cockroachdb/errors"
+)
+
+// AttemptHeader names the attempt in a request. A target that copies it into
+// its answer proves whose answer it is, so that its connection can be kept.
+const AttemptHeader = "Filbertmill-Attempt"
+
+// Options are the settings of a Client.
+type Options struct {
+	// Name is the start of every attempt's id; it must be unique in the fleet.
+	Name string
+	// DialTimeout bounds the opening of a connection. Default: 250 ms.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept. Longer saves
+	// connection set-up; shorter frees the target's connections. Default: 30 s.
+	IdleTimeout time.Duration
+	// MaxIdle is the most unused connections kept for one address. Default: 32.
+	MaxIdle int
+}
+
+// Default settings of a Client.
+const (
+	defaultDialTimeout = 250 * time.Millisecond
+	defaultIdleTimeout = 30 * time.Second
+	defaultMaxIdle     = 32
+)
+
+// Client runs exchanges. It is safe for use by many goroutines.
+type Client struct {
+	opts   Options
+	dialer network.Dialer
+	// instance tells this client's attempts from those of an earlier process
+	// with the same name.
+	instance string
+	attempts atomic.Uint64
+	open     atomic.Int64
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// NewClient returns a Client with the given options and defaults for those that are zero.
+func NewClient(opts Options) *Client {
+	if opts.DialTimeout == 0 {
+		opts.DialTimeout = defaultDialTimeout
+	}
+	if opts.IdleTimeout == 0 {
+		opts.IdleTimeout = defaultIdleTimeout
+	}
+	if opts.MaxIdle == 0 {
+		opts.MaxIdle = defaultMaxIdle
+	}
+	return &Client{
+		opts:     opts,
+		dialer:   standard.NewDialer(),
+		instance: opts.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
+		idle:     make(map[string][]*conn),
+	}
+}
+
+// Call is one request to one address.
+type Call struct {
+	// Address is the IP address and port.
+	Address string
+	// Request is the request; its body may be a stream.
+	Request *protocol.Request
+	// Fresh asks for a new connection, on which no earlier exchange can have
+	// left a byte and which the peer cannot have closed as idle.
+	Fresh bool
+	// MaxResponseBytes bounds the answer's body; 0 means no bound.
+	MaxResponseBytes int64
+}
+
+// Answer is the start of an answer. Body must be read to its end or closed.
+type Answer struct {
+	// Response holds the status and headers; its own body is not used.
+	Response *protocol.Response
+	// Body is the answer's body; it fails unless the body is whole.
+	Body *Body
+}
+
+// Do runs one exchange up to the answer's headers. The context bounds the
+// whole exchange, including the reading of the body.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, *Failure) {
+	cn, f := c.connect(ctx, call)
+	if f != nil {
+		return nil, f
+	}
+	if d, ok := ctx.Deadline(); ok {
+		_ = cn.SetDeadline(d)
+	} else {
+		_ = cn.SetDeadline(time.Time{})
+	}
+	stop := context.AfterFunc(ctx, cn.interrupt)
+	ans, f := c.exchange(ctx, cn, call)
+	if f != nil {
+		stop()
+		cn.abort()
+		return nil, f
+	}
+	ans.Body.stop = stop
+	return ans, nil
+}
+
+// exchange writes the request and reads the answer's headers.
+func (c *Client) exchange(ctx context.Context, cn *conn, call Call) (*Answer, *Failure) {
+	attempt := c.instance + strconv.FormatUint(c.attempts.Add(1), 36)
+	call.Request.Header.Set(AttemptHeader, attempt)
+	if f := send(ctx, cn, call.Request); f != nil {
+		return nil, f
+	}
+	r := &protocol.Response{}
+	r.SkipBody = string(call.Request.Method()) == "HEAD"
+	if err := readHeaders(r, cn); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, fail(ctx, StageAwait, err)
+	}
+	echo := string(r.Header.Peek(AttemptHeader))
+	if echo != "" && echo != attempt {
+		return nil, fail(ctx, StageReceive, errOtherAttempt)
+	}
+	r.Header.Del(AttemptHeader)
+	body, err := newBody(ctx, cn, r, call.MaxResponseBytes)
+	if err != nil {
+		return nil, fail(ctx, StageReceive, err)
+	}
+	body.reusable = echo == attempt && !r.Header.ConnectionClose()
+	return &Answer{Response: r, Body: body}, nil
+}
+
+// send writes the whole request.
+func send(ctx context.Context, cn *conn, r *protocol.Request) *Failure {
+	var src *sourceReader
+	if r.IsBodyStream() {
+		src = &sourceReader{src: r.BodyStream(), cn: cn}
+		r.SetBodyStream(src, r.Header.ContentLength())
+	}
+	err := req.Write(r, cn)
+	if err == nil {
+		err = cn.Flush()
+	}
+	if src != nil && src.err != nil {
+		return &Failure{Stage: StageSend, Cause: CauseRequestBody, Err: src.err}
+	}
+	if err != nil {
+		return fail(ctx, StageSend, err)
+	}
+	return nil
+}
+
+// readHeaders reads the final answer's headers, passing over interim answers.
+func readHeaders(r *protocol.Response, cn *conn) error {
+	const switchingProtocols = 101
+	for {
+		if err := resp.ReadHeaders(r, cn); err != nil {
+			return err
+		}
+		status := r.StatusCode()
+		if status >= 200 || status == switchingProtocols {
+			return nil
+		}
+	}
+}
+
+// connect returns a connection for the call.
+func (c *Client) connect(ctx context.Context, call Call) (*conn, *Failure) {
+	if err := ctx.Err(); err != nil {
+		return nil, fail(ctx, StageDial, err)
+	}
+	for !call.Fresh {
+		cn := c.take(call.Address)
+		if cn == nil {
+			break
+		}
+		if cn.unpark() {
+			return cn, nil
+		}
+		cn.abort()
+	}
+	return c.dial(ctx, call.Address)
+}
+
+// dial opens a new connection.
+func (c *Client) dial(ctx context.Context, addr string) (*conn, *Failure) {
+	timeout := c.opts.DialTimeout
+	if d, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(d))
+	}
+	if timeout <= 0 {
+		return nil, fail(ctx, StageDial, context.DeadlineExceeded)
+	}
+	nc, err := c.dialer.DialConnection("tcp", addr, timeout, nil)
+	if err != nil {
+		return nil, &Failure{Stage: StageDial, Cause: CauseConnection, Err: err}
+	}
+	c.open.Add(1)
+	return &conn{Conn: nc, client: c, addr: addr}, nil
+}
+
+// take removes the most recently used idle connection from the list.
+func (c *Client) take(addr string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	cn := list[len(list)-1]
+	c.idle[addr] = list[:len(list)-1]
+	return cn
+}
+
+// keep puts a clean connection on the idle list.
+func (c *Client) keep(cn *conn) {
+	c.mu.Lock()
+	if len(c.idle[cn.addr]) >= c.opts.MaxIdle {
+		c.mu.Unlock()
+		cn.abort()
+		return
+	}
+	cn.park(c.opts.IdleTimeout)
+	c.idle[cn.addr] = append(c.idle[cn.addr], cn)
+	c.mu.Unlock()
+}
+
+// forget removes cn from the idle list and reports whether it was there.
+func (c *Client) forget(cn *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[cn.addr]
+	for i, other := range list {
+		if other == cn {
+			c.idle[cn.addr] = append(list[:i], list[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Open returns the number of open connections.
+func (c *Client) Open() int64 { return c.open.Load() }
+
+// CloseIdle closes the idle connections.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	all := c.idle
+	c.idle = make(map[string][]*conn)
+	c.mu.Unlock()
+	for _, list := range all {
+		for _, cn := range list {
+			cn.unpark()
+			cn.abort()
+		}
+	}
+}
--- /dev/null
+++ b/exchange/conn.go
@@ -0,0 +1,59 @@
+package exchange
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+)
+
+// pastDeadline interrupts a blocked read or write when set as a deadline.
+var pastDeadline = time.Unix(1, 0)
+
+// conn is a connection that serves one exchange at a time.
+type conn struct {
+	network.Conn
+	client *Client
+	addr   string
+	// watch receives, once the connection is taken from the idle list, whether
+	// it stayed silent while it was idle.
+	watch chan bool
+	// aborted is set when the connection was closed on purpose.
+	aborted atomic.Bool
+}
+
+// interrupt makes blocked reads and writes fail. It may be called from any goroutine.
+func (c *conn) interrupt() {
+	_ = c.SetDeadline(pastDeadline)
+}
+
+// abort closes the connection. It may be called more than once.
+func (c *conn) abort() {
+	if c.aborted.CompareAndSwap(false, true) {
+		_ = c.Close()
+		c.client.open.Add(-1)
+	}
+}
+
+// park watches an idle connection: a byte or an end that arrives while no
+// exchange is running makes it unusable.
+func (c *conn) park(idle time.Duration) {
+	_ = c.SetDeadline(time.Now().Add(idle))
+	c.watch = make(chan bool, 1)
+	go func() {
+		_, err := c.Peek(1)
+		if c.client.forget(c) {
+			c.abort()
+			return
+		}
+		c.watch <- err != nil && isTimeout(err)
+	}()
+}
+
+// unpark ends the watch of a connection that was taken from the idle list and
+// reports whether it may be used.
+func (c *conn) unpark() bool {
+	_ = c.SetReadDeadline(pastDeadline)
+	silent := <-c.watch
+	return silent && c.Len() == 0
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"filbertmill.example/config/dynamic"
+	"filbertmill.example/event"
+	"filbertmill.example/pool"
+)
+
+const (
+	// mailboxSize is the number of commands that wait for the control goroutine.
+	mailboxSize = 4096
+	// idleTick is the longest time between two looks at what is due.
+	idleTick = time.Second
+)
+
+// command is a message to the control goroutine.
+type command interface {
+	apply(c *control, now time.Time)
+}
+
+// control is the state of the control goroutine. Nothing else touches it.
+type control struct {
+	mailbox chan command
+	done    chan struct{}
+	now     func() time.Time
+	env     environment
+	config  *dynamic.Config
+	leaving map[string]bool
+	pools   map[string]*servicePool
+	seed    uint64
+}
+
+// environment is what the control goroutine needs of its node.
+type environment interface {
+	event.Sink
+	// probe asks for an observation of a target; the answer comes as a command.
+	probe(service, target, address, path string, origin pool.Origin)
+}
+
+// newControl returns the state with no configuration in force.
+func newControl(env environment, seed uint64) *control {
+	return &control{
+		mailbox: make(chan command, mailboxSize),
+		done:    make(chan struct{}),
+		now:     time.Now,
+		env:     env,
+		config:  &dynamic.Config{},
+		leaving: make(map[string]bool),
+		pools:   make(map[string]*servicePool),
+		seed:    seed,
+	}
+}
+
+// run applies commands until the context ends.
+func (c *control) run(ctx context.Context) {
+	defer close(c.done)
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case cmd := <-c.mailbox:
+			cmd.apply(c, c.now())
+			c.drainMailbox()
+		case <-timer.C:
+		}
+		timer.Reset(c.tick(c.now()))
+	}
+}
+
+// drainMailbox applies the commands that are already waiting.
+func (c *control) drainMailbox() {
+	for range mailboxSize {
+		select {
+		case cmd := <-c.mailbox:
+			cmd.apply(c, c.now())
+		default:
+			return
+		}
+	}
+}
+
+// tick does what is due and returns the time until more is.
+func (c *control) tick(now time.Time) time.Duration {
+	wait := idleTick
+	for _, p := range c.pools {
+		next := p.sched.Next()
+		if next.IsZero() {
+			continue
+		}
+		if !next.After(now) {
+			p.sched.Tick(now)
+			next = p.sched.Next()
+		}
+		if !next.IsZero() {
+			wait = min(wait, max(next.Sub(now), time.Millisecond))
+		}
+	}
+	return wait
+}
+
+// send hands a command over; it reports false once the control goroutine has ended.
+func (c *control) send(cmd command) bool {
+	select {
+	case c.mailbox <- cmd:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// pool returns the pool of a service, made on first use, or nil if the
+// configuration has no such service.
+func (c *control) pool(service string, now time.Time) *servicePool {
+	if p := c.pools[service]; p != nil {
+		return p
+	}
+	for i := range c.config.Services {
+		if c.config.Services[i].Name == service {
+			p := newServicePool(c, &c.config.Services[i], now)
+			c.pools[service] = p
+			return p
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/home.go
@@ -0,0 +1,231 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"filbertmill.example/event"
+	"filbertmill.example/exchange"
+	"filbertmill.example/outcome"
+	"filbertmill.example/pool"
+)
+
+// maxAttempts is the most targets that one request is offered to.
+const maxAttempts = 3
+
+// attempt is the end of one try on one target.
+type attempt struct {
+	target  string
+	verdict pool.Verdict
+	leaving bool
+	failure *exchange.Failure
+	answer  *exchange.Answer
+	body    *answerBody
+	start   time.Time
+	id      pool.RequestID
+}
+
+// runHere runs a request on the targets of its service, as their home.
+func (n *Node) runHere(ctx context.Context, r *request) result {
+	var exclude []string
+	var last result
+	for try := 1; ; try++ {
+		g, id := n.admit(ctx, r, exclude)
+		if g.refusal != nil {
+			if try > 1 {
+				return last
+			}
+			return result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter)}
+		}
+		a := n.try(ctx, r, g, id)
+		last = n.conclude(r, a)
+		if try == maxAttempts || !n.mayRetry(ctx, r, a) {
+			return last
+		}
+		n.finish(r, a, nil)
+		exclude = append(exclude, a.target)
+		n.Emit(event.Event{
+			Time: time.Now(), Kind: event.KindRetry, Service: r.service.Name, Target: a.target,
+			Request: r.id, Rule: string(last.outcome.Reason),
+		})
+	}
+}
+
+// admit waits until the Scheduler starts the request on a target or refuses it.
+func (n *Node) admit(ctx context.Context, r *request, exclude []string) (grant, pool.RequestID) {
+	id := pool.RequestID(n.lastID.Add(1))
+	reply := make(chan grant, 1)
+	sent := n.control.send(submitCommand{
+		service: r.service.Name,
+		reply:   reply,
+		request: pool.Request{
+			ID:         id,
+			Route:      r.route.Name,
+			Caller:     r.caller,
+			Idempotent: r.idempotent,
+			Deadline:   r.deadline,
+			Exclude:    exclude,
+		},
+	})
+	if !sent {
+		return grant{refusal: &pool.Refusal{Reason: outcome.ReasonShutdown}}, id
+	}
+	select {
+	case g := <-reply:
+		return g, id
+	case <-ctx.Done():
+		n.control.send(abandonCommand{service: r.service.Name, id: id, reply: reply})
+		reason := outcome.ReasonCallerLeft
+		if expired(ctx) {
+			reason = outcome.ReasonTooLate
+		}
+		return grant{refusal: &pool.Refusal{Reason: reason}}, id
+	}
+}
+
+// try runs the request once on the granted target.
+func (n *Node) try(ctx context.Context, r *request, g grant, id pool.RequestID) attempt {
+	a := attempt{target: g.target, start: time.Now(), id: id}
+	out := r.copyOnward()
+	out.Header.Set(headerTimeout, strconv.FormatInt(r.timeLeft(a.start), 10))
+	out.Header.Set(headerRequestID, r.id)
+	a.answer, a.failure = n.client.Do(ctx, exchange.Call{
+		Address:          g.address,
+		Request:          out,
+		Fresh:            !r.idempotent,
+		MaxResponseBytes: r.route.MaxResponseBytes,
+	})
+	if a.failure == nil {
+		body, err := readAnswerBody(a.answer.Body)
+		if err != nil {
+			a.failure = asFailure(err)
+		}
+		a.body = body
+	}
+	if a.failure != nil {
+		a.verdict = failureVerdict(a.failure)
+		return a
+	}
+	a.leaving = len(a.answer.Response.Header.Peek(headerTargetLeaving)) > 0
+	a.verdict = statusVerdict(a.answer.Response.StatusCode(), r.service.RefusalStatus)
+	return a
+}
+
+// asFailure returns the Failure that a Body's Read reported.
+func asFailure(err error) *exchange.Failure {
+	if f, ok := err.(*exchange.Failure); ok {
+		return f
+	}
+	return &exchange.Failure{Stage: exchange.StageReceive, Cause: exchange.CauseConnection, Err: err}
+}
+
+// failureVerdict classifies an exchange without a whole answer.
+func failureVerdict(f *exchange.Failure) pool.Verdict {
+	switch {
+	case f.Cause == exchange.CauseCancelled || f.Cause == exchange.CauseRequestBody:
+		return pool.VerdictCancelled
+	case f.Cause == exchange.CauseTimeout:
+		return pool.VerdictTimeout
+	case f.Stage == exchange.StageDial:
+		return pool.VerdictUnreachable
+	case f.Stage == exchange.StageReceive:
+		return pool.VerdictTruncated
+	}
+	return pool.VerdictReset
+}
+
+// statusVerdict classifies a whole answer.
+func statusVerdict(status int, refusal []int) pool.Verdict {
+	for _, s := range refusal {
+		if s == status {
+			return pool.VerdictRefused
+		}
+	}
+	if status >= 500 {
+		return pool.VerdictServerError
+	}
+	return pool.VerdictAnswered
+}
+
+// conclude says what the caller is told if the attempt was the last.
+func (n *Node) conclude(r *request, a attempt) result {
+	if a.failure != nil {
+		reason := failureReason(a.failure)
+		return result{
+			outcome: outcome.New(reason, a.failure.Error(), 0),
+			settle:  func(error) { n.finish(r, a, nil) },
+		}
+	}
+	if a.verdict == pool.VerdictRefused {
+		return result{
+			outcome: outcome.New(outcome.ReasonTargetRefused, "", retryAfter(a.answer.Response)),
+			settle:  func(error) { n.finish(r, a, nil) },
+		}
+	}
+	return result{
+		outcome:  outcome.New(outcome.ReasonAnswered, "", 0),
+		response: a.answer.Response,
+		body:     a.body,
+		settle:   func(err error) { n.finish(r, a, err) },
+	}
+}
+
+// failureReason maps an exchange's failure to the reason that callers are given.
+func failureReason(f *exchange.Failure) outcome.Reason {
+	switch {
+	case f.NotSent() && f.Cause == exchange.CauseCancelled:
+		return outcome.ReasonCallerLeft
+	case f.NotSent():
+		return outcome.ReasonUnreachable
+	case f.Cause == exchange.CauseTimeout:
+		return outcome.ReasonTimeout
+	case f.Cause == exchange.CauseCancelled, f.Cause == exchange.CauseRequestBody:
+		return outcome.ReasonCallerLeft
+	case f.Stage == exchange.StageReceive:
+		return outcome.ReasonIncompleteAnswer
+	}
+	return outcome.ReasonConnectionLost
+}
+
+// retryAfter returns the wait that a target advises, or 0.
+func retryAfter(r *protocol.Response) time.Duration {
+	seconds, err := strconv.Atoi(string(r.Header.Peek(headerRetryAfter)))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// mayRetry reports whether the request may be offered to another target.
+func (n *Node) mayRetry(ctx context.Context, r *request, a attempt) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch a.verdict {
+	case pool.VerdictAnswered, pool.VerdictCancelled, pool.VerdictTimeout:
+		return false
+	case pool.VerdictUnreachable, pool.VerdictRefused:
+		return r.body.replayable()
+	}
+	return r.resendable()
+}
+
+// finish reports the end of an attempt to the Scheduler. A non-nil err says
+// that the answer's body broke off while it was passed on.
+func (n *Node) finish(r *request, a attempt, err error) {
+	verdict := a.verdict
+	if err != nil {
+		verdict = failureVerdict(asFailure(err))
+	}
+	if a.answer != nil {
+		_ = a.answer.Body.Close()
+	}
+	n.control.send(finishCommand{
+		service: r.service.Name,
+		id:      a.id,
+		result:  pool.Result{Verdict: verdict, Latency: time.Since(a.start), Leaving: a.leaving},
+	})
+}
--- /dev/null
+++ b/node/request.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"filbertmill.example/config/dynamic"
+	"filbertmill.example/outcome"
+)
+
+// request is one caller's request while a node has it.
+type request struct {
+	id         string
+	service    *dynamic.Service
+	route      *dynamic.Route
+	caller     string
+	idempotent bool
+	deadline   time.Time
+	onward     *protocol.Request
+	body       *requestBody
+}
+
+// result is what became of a request at this node. Answer is set if a target
+// answered; body then streams or holds the answer's body.
+type result struct {
+	outcome  outcome.Outcome
+	response *protocol.Response
+	body     *answerBody
+	// settle must be called once the answer was passed on, with the error that
+	// ended it or nil.
+	settle func(err error)
+}
+
+// refused returns a result without an answer.
+func refused(reason outcome.Reason, detail string) result {
+	return result{outcome: outcome.New(reason, detail, 0)}
+}
+
+// timeLeft returns the time until the deadline in whole milliseconds, at least 0.
+func (r *request) timeLeft(now time.Time) int64 {
+	return max(r.deadline.Sub(now).Milliseconds(), 0)
+}
+
+// resendable reports whether the request may be sent again although an
+// earlier sending may have been run.
+func (r *request) resendable() bool {
+	return r.idempotent && r.body.replayable()
+}
+
+// copyOnward returns a copy of the onward request with the body attached.
+func (r *request) copyOnward() *protocol.Request {
+	out := &protocol.Request{}
+	r.onward.Header.CopyTo(&out.Header)
+	out.Header.SetRequestURIBytes(r.onward.Header.RequestURI())
+	r.body.attach(out)
+	return out
+}
+
+// expired reports whether the context ended because its deadline passed.
+func expired(ctx context.Context) bool {
+	return ctx.Err() == context.DeadlineExceeded
+}
--- /dev/null
+++ b/node/routes.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"net"
+	"sort"
+	"strings"
+
+	"filbertmill.example/config/dynamic"
+)
+
+// anyHost is the host pattern that matches every host.
+const anyHost = "*"
+
+// routeTable finds the route of a request. It is immutable.
+type routeTable struct {
+	byHost   map[string][]*dynamic.Route
+	services map[string]*dynamic.Service
+}
+
+// newRouteTable indexes the routes of a configuration, longest prefix first.
+func newRouteTable(cfg *dynamic.Config) *routeTable {
+	t := &routeTable{
+		byHost:   make(map[string][]*dynamic.Route),
+		services: make(map[string]*dynamic.Service),
+	}
+	for i := range cfg.Services {
+		t.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		sort.SliceStable(list, func(i, j int) bool {
+			return len(list[i].PathPrefix) > len(list[j].PathPrefix)
+		})
+	}
+	return t
+}
+
+// match returns the route with the longest prefix among those of the host, or
+// else among those of any host; nil if none matches.
+func (t *routeTable) match(host, path string) *dynamic.Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	if r := matchPrefix(t.byHost[strings.ToLower(host)], path); r != nil {
+		return r
+	}
+	return matchPrefix(t.byHost[anyHost], path)
+}
+
+// route returns the route with the given name, or nil.
+func (t *routeTable) route(name string) *dynamic.Route {
+	for _, list := range t.byHost {
+		for _, r := range list {
+			if r.Name == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// matchPrefix returns the first route whose prefix holds whole segments of path.
+func matchPrefix(list []*dynamic.Route, path string) *dynamic.Route {
+	for _, r := range list {
+		prefix := strings.TrimSuffix(r.PathPrefix, "/")
+		rest, ok := strings.CutPrefix(path, prefix)
+		if ok && (rest == "" || rest[0] == '/') {
+			return r
+		}
+	}
+	return nil
+}
+
+// idempotent reports whether a request of the route may be run more than once.
+func idempotent(r *dynamic.Route, method string) bool {
+	switch r.Idempotency {
+	case dynamic.IdempotentAlways:
+		return true
+	case dynamic.IdempotentNever:
+		return false
+	}
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/node/servicepool.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"time"
+
+	"filbertmill.example/config/dynamic"
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+	"filbertmill.example/pool"
+)
+
+// servicePool ties one service's Scheduler to the node; it is the Scheduler's
+// Delegate and belongs to the control goroutine.
+type servicePool struct {
+	control *control
+	service *dynamic.Service
+	sched   pool.Scheduler
+	address map[string]string
+	waiting map[pool.RequestID]chan<- grant
+}
+
+// grant answers an admission: a target to run on, or a refusal.
+type grant struct {
+	target  string
+	address string
+	refusal *pool.Refusal
+}
+
+// newServicePool makes the pool of a service with the targets listed for it.
+func newServicePool(c *control, svc *dynamic.Service, now time.Time) *servicePool {
+	p := &servicePool{control: c, waiting: make(map[pool.RequestID]chan<- grant)}
+	cfg := poolConfig(svc, c.config.Targets)
+	if svc.Variant == dynamic.VariantDirect {
+		p.sched = pool.NewDirect(cfg, p, c.seed)
+	} else {
+		p.sched = pool.NewHome(cfg, p, c.seed)
+	}
+	p.configure(svc, now)
+	return p
+}
+
+// configure brings a configuration into force.
+func (p *servicePool) configure(svc *dynamic.Service, now time.Time) {
+	p.service = svc
+	p.address = make(map[string]string)
+	var targets []pool.Target
+	for _, t := range p.control.config.Targets {
+		if t.Service != svc.Name {
+			continue
+		}
+		p.address[t.Name] = t.Address
+		targets = append(targets, poolTarget(svc, t, p.control.leaving[t.Name]))
+	}
+	p.sched.SetConfig(now, poolConfig(svc, p.control.config.Targets))
+	p.sched.SetTargets(now, targets)
+}
+
+// poolTarget describes a target to the Scheduler.
+func poolTarget(svc *dynamic.Service, t dynamic.Target, leaving bool) pool.Target {
+	pt := pool.Target{
+		Name:             t.Name,
+		AvailabilityZone: t.AvailabilityZone,
+		Slots:            svc.Slots,
+		Connections:      svc.Connections,
+		Leaving:          leaving,
+	}
+	if t.Slots > 0 {
+		pt.Slots = t.Slots
+	}
+	if t.Connections > 0 {
+		pt.Connections = t.Connections
+	}
+	return pt
+}
+
+// poolConfig derives a Scheduler's settings from the fleet configuration.
+func poolConfig(svc *dynamic.Service, targets []dynamic.Target) pool.Config {
+	slots := 0
+	for _, t := range targets {
+		if t.Service == svc.Name {
+			slots += poolTarget(svc, t, false).Slots
+		}
+	}
+	cfg := pool.DefaultConfig(svc.Name)
+	cfg.FloorSlots = floorSlots(slots, svc.FloorShare)
+	cfg.QueueLimit = svc.QueueLimit
+	cfg.CallerShare = svc.CallerShare
+	cfg.LongShare = svc.LongShare
+	return cfg
+}
+
+// floorSlots returns a share of the slots, rounded up.
+func floorSlots(slots int, share float64) int {
+	floor := int(float64(slots) * share)
+	if float64(floor) < float64(slots)*share {
+		floor++
+	}
+	return floor
+}
+
+// Start implements pool.Delegate.
+func (p *servicePool) Start(id pool.RequestID, target string) {
+	p.answer(id, grant{target: target, address: p.address[target]})
+}
+
+// Refuse implements pool.Delegate.
+func (p *servicePool) Refuse(id pool.RequestID, r pool.Refusal) {
+	p.answer(id, grant{refusal: &r})
+	p.Event(event.Event{
+		Time: p.control.now(), Kind: event.KindRefusal, Rule: string(r.Reason),
+		Evidence: event.Evidence{Wait: r.RetryAfter},
+	})
+}
+
+// answer hands a grant to the goroutine that waits for it.
+func (p *servicePool) answer(id pool.RequestID, g grant) {
+	ch, ok := p.waiting[id]
+	if !ok {
+		return
+	}
+	delete(p.waiting, id)
+	ch <- g
+}
+
+// Probe implements pool.Delegate.
+func (p *servicePool) Probe(target string, origin pool.Origin) {
+	p.control.env.probe(p.service.Name, target, p.address[target], p.service.ProbePath, origin)
+}
+
+// Event implements pool.Delegate.
+func (p *servicePool) Event(e event.Event) {
+	e.Service = p.service.Name
+	p.control.env.Emit(e)
+}
+
+// submitCommand offers an attempt; the grant comes on reply, which must have
+// room for one.
+type submitCommand struct {
+	service string
+	request pool.Request
+	reply   chan<- grant
+}
+
+func (m submitCommand) apply(c *control, now time.Time) {
+	p := c.pool(m.service, now)
+	if p == nil {
+		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
+		return
+	}
+	p.waiting[m.request.ID] = m.reply
+	p.sched.Submit(now, m.request)
+}
+
+// abandonCommand withdraws an attempt whose grant nobody waits for any more.
+type abandonCommand struct {
+	service string
+	id      pool.RequestID
+	reply   <-chan grant
+}
+
+func (m abandonCommand) apply(c *control, now time.Time) {
+	p := c.pools[m.service]
+	if p == nil {
+		return
+	}
+	if _, ok := p.waiting[m.id]; ok {
+		delete(p.waiting, m.id)
+		p.sched.Cancel(now, m.id)
+		return
+	}
+	if g := <-m.reply; g.refusal == nil {
+		p.sched.Finish(now, m.id, pool.Result{Verdict: pool.VerdictCancelled})
+	}
+}
+
+// finishCommand reports the end of a started attempt.
+type finishCommand struct {
+	service string
+	id      pool.RequestID
+	result  pool.Result
+}
+
+func (m finishCommand) apply(c *control, now time.Time) {
+	if p := c.pools[m.service]; p != nil {
+		p.sched.Finish(now, m.id, m.result)
+	}
+}
+
+// observeCommand reports the answer to a probe.
+type observeCommand struct {
+	service     string
+	observation pool.Observation
+}
+
+func (m observeCommand) apply(c *control, now time.Time) {
+	if p := c.pools[m.service]; p != nil {
+		p.sched.Observe(now, m.observation)
+	}
+}
+
+// configCommand brings a whole configuration into force.
+type configCommand struct {
+	config *dynamic.Config
+}
+
+func (m configCommand) apply(c *control, now time.Time) {
+	c.config = m.config
+	listed := make(map[string]*dynamic.Service)
+	for i := range m.config.Services {
+		listed[m.config.Services[i].Name] = &m.config.Services[i]
+	}
+	for name, p := range c.pools {
+		svc := listed[name]
+		if svc == nil {
+			p.sched.SetTargets(now, nil)
+			continue
+		}
+		p.configure(svc, now)
+	}
+}
+
+// leavingCommand replaces the set of targets that the platform lists as leaving.
+type leavingCommand struct {
+	targets map[string]bool
+}
+
+func (m leavingCommand) apply(c *control, now time.Time) {
+	c.leaving = m.targets
+	for _, p := range c.pools {
+		p.configure(p.service, now)
+	}
+}
+
+// snapshotCommand asks for the state of all pools.
+type snapshotCommand struct {
+	reply chan<- []pool.Snapshot
+}
+
+func (m snapshotCommand) apply(c *control, now time.Time) {
+	list := make([]pool.Snapshot, 0, len(c.pools))
+	for _, p := range c.pools {
+		list = append(list, p.sched.Snapshot(now))
+	}
+	m.reply <- list
+}
