retry, poison: budget of second attempts and quarantine of requests

Cause: retries may not feed an overload, and one request may not take down every target that it is sent to. Change: Budget counts retries against requests over a moving 10 s window and grants none while work waits; Tracker quarantines a fingerprint after two distinct targets crashed under it, names the targets to absolve, spares bystanders of the same crash, and is bounded in time and memory. Conclusion: both are pure and wait for their wiring.

--- /dev/null
+++ b/poison/fingerprint.go
@@ -0,0 +1,41 @@
+package poison
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// fingerprintBits is the size of a Fingerprint.
+const fingerprintBits = 64
+
+// Fingerprint identifies requests that are the same to a target.
+type Fingerprint uint64
+
+// NewFingerprint returns the fingerprint of a request. Path includes the
+// query; bodyDigest is xxhash of the whole body.
+func NewFingerprint(method, host, path string, bodyDigest uint64) Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{method, host, path} {
+		_, _ = d.WriteString(part) // never fails, as documented
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.WriteString(strconv.FormatUint(bodyDigest, 16))
+	return Fingerprint(d.Sum64())
+}
+
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string {
+	const digits = fingerprintBits / 4
+	s := strconv.FormatUint(uint64(f), 16)
+	for len(s) < digits {
+		s = "0" + s
+	}
+	return s
+}
+
+// ParseFingerprint reads what String wrote.
+func ParseFingerprint(s string) (Fingerprint, error) {
+	n, err := strconv.ParseUint(s, 16, fingerprintBits)
+	return Fingerprint(n), err
+}
--- /dev/null
+++ b/poison/tracker_test.go
@@ -0,0 +1,176 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/poison"
+)
+
+var start = time.Date(2026, 7, 1, 6, 0, 0, 0, time.UTC)
+
+const bad, good = poison.Fingerprint(1), poison.Fingerprint(2)
+
+// crash reports that the target went down under f, at seconds after start.
+func crash(t *poison.Tracker, f poison.Fingerprint, target string, seconds int) (poison.Entry, bool) {
+	ended := start.Add(time.Duration(seconds) * time.Second)
+	return t.Crashed(poison.Report{
+		Fingerprint: f,
+		Service:     "bookings",
+		Route:       "book",
+		Request:     fmt.Sprint("r", seconds),
+		Crash:       poison.Crash{Target: target, Started: ended.Add(-100 * time.Millisecond), Ended: ended},
+	})
+}
+
+func TestTwoTargetsQuarantineAndAbsolve(t *testing.T) {
+	c := qt.New(t)
+	tracker := poison.NewTracker(poison.DefaultConfig())
+
+	_, quarantined := crash(tracker, bad, "b1", 0)
+	c.Assert(quarantined, qt.IsFalse)
+	_, refuse := tracker.Check(start, bad)
+	c.Assert(refuse, qt.IsFalse, qt.Commentf("one crash quarantines nobody"))
+
+	entry, quarantined := crash(tracker, bad, "b2", 5)
+	c.Assert(quarantined, qt.IsTrue)
+	c.Assert(entry.Crashes, qt.HasLen, 2)
+	c.Assert(entry.Crashes[0].Target, qt.Equals, "b1")
+	c.Assert(entry.Crashes[0].Started, qt.Equals, start.Add(-100*time.Millisecond))
+	c.Assert(entry.Crashes[1].Target, qt.Equals, "b2")
+
+	now := start.Add(6 * time.Second)
+	_, refuse = tracker.Check(now, bad)
+	c.Assert(refuse, qt.IsTrue)
+	_, refuse = tracker.Check(now, good)
+	c.Assert(refuse, qt.IsFalse, qt.Commentf("other requests of the route run"))
+	list := tracker.List(now)
+	c.Assert(list, qt.HasLen, 1)
+	c.Assert(list[0].Refused, qt.Equals, 1)
+	c.Assert(list[0].Request, qt.Equals, "r5")
+}
+
+func TestWhatQuarantinesNobody(t *testing.T) {
+	for _, test := range []struct {
+		desc string
+		run  func(*poison.Tracker)
+	}{
+		{"the same target twice", func(tr *poison.Tracker) {
+			crash(tr, bad, "b1", 0)
+			crash(tr, bad, "b1", 9)
+		}},
+		{"a whole answer in between", func(tr *poison.Tracker) {
+			crash(tr, bad, "b1", 0)
+			tr.Passed(bad)
+			crash(tr, bad, "b2", 9)
+		}},
+		{"crashes further apart than the memory", func(tr *poison.Tracker) {
+			crash(tr, bad, "b1", 0)
+			crash(tr, bad, "b2", 15*60)
+		}},
+		{"an operator's release", func(tr *poison.Tracker) {
+			crash(tr, bad, "b1", 0)
+			crash(tr, bad, "b2", 5)
+			tr.Release(start.Add(6*time.Second), bad)
+			crash(tr, bad, "b3", 7)
+		}},
+		{"a bystander of another poison request", func(tr *poison.Tracker) {
+			crash(tr, bad, "b1", 0)
+			crash(tr, good, "b1", 0)
+			crash(tr, good, "b2", 5)
+			crash(tr, bad, "b2", 5)
+		}},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			tracker := poison.NewTracker(poison.DefaultConfig())
+			test.run(tracker)
+			_, refuse := tracker.Check(start.Add(10*time.Second), bad)
+			qt.Assert(t, refuse, qt.IsFalse)
+		})
+	}
+}
+
+func TestQuarantineEnds(t *testing.T) {
+	c := qt.New(t)
+	tracker := poison.NewTracker(poison.DefaultConfig())
+	crash(tracker, bad, "b1", 0)
+	entry, _ := crash(tracker, bad, "b2", 5)
+
+	_, refuse := tracker.Check(entry.Until.Add(-time.Second), bad)
+	c.Assert(refuse, qt.IsTrue)
+	_, refuse = tracker.Check(entry.Until, bad)
+	c.Assert(refuse, qt.IsFalse)
+	c.Assert(tracker.List(entry.Until), qt.HasLen, 0)
+	c.Assert(tracker.Release(entry.Until, bad), qt.IsFalse)
+}
+
+func TestImportCarriesAQuarantineToAnotherNode(t *testing.T) {
+	c := qt.New(t)
+	home := poison.NewTracker(poison.DefaultConfig())
+	successor := poison.NewTracker(poison.DefaultConfig())
+	crash(home, bad, "b1", 0)
+	entry, _ := crash(home, bad, "b2", 5)
+	now := start.Add(10 * time.Second)
+
+	c.Assert(successor.Import(now, entry), qt.IsTrue)
+	c.Assert(successor.Import(now, entry), qt.IsFalse)
+	_, refuse := successor.Check(now, bad)
+	c.Assert(refuse, qt.IsTrue)
+
+	entry.Until = now.Add(24 * time.Hour) // a clock that runs ahead
+	entry.Fingerprint = good
+	c.Assert(successor.Import(now, entry), qt.IsTrue)
+	list := successor.List(now)
+	c.Assert(list[1].Until, qt.Equals, now.Add(poison.DefaultConfig().Quarantine))
+	c.Assert(successor.Import(entry.Until, entry), qt.IsFalse, qt.Commentf("an entry that is over"))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	cfg := poison.DefaultConfig()
+	cfg.Capacity = 10
+	tracker := poison.NewTracker(cfg)
+	crash(tracker, bad, "b1", 0)
+	crash(tracker, bad, "b2", 5)
+	for i := range 100 {
+		crash(tracker, poison.Fingerprint(1000+i), "b3", 10+i)
+		c.Assert(tracker.Len() <= 10, qt.IsTrue)
+	}
+	_, refuse := tracker.Check(start.Add(2*time.Minute), bad)
+	c.Assert(refuse, qt.IsTrue, qt.Commentf("suspects go before entries"))
+	for i := range 100 {
+		crash(tracker, poison.Fingerprint(2000+i), fmt.Sprint("c", i), 200+3*i)
+		crash(tracker, poison.Fingerprint(2000+i), fmt.Sprint("d", i), 201+3*i)
+		c.Assert(tracker.Len() <= 10, qt.IsTrue)
+	}
+}
+
+func TestFingerprint(t *testing.T) {
+	c := qt.New(t)
+	f := poison.NewFingerprint("POST", "bookings.example", "/book?id=7", 42)
+	seen := map[poison.Fingerprint]string{f: "the first"}
+	for _, test := range []struct {
+		desc               string
+		method, host, path string
+		digest             uint64
+	}{
+		{"another method", "PUT", "bookings.example", "/book?id=7", 42},
+		{"another host", "POST", "invoices.example", "/book?id=7", 42},
+		{"another query", "POST", "bookings.example", "/book?id=8", 42},
+		{"another body", "POST", "bookings.example", "/book?id=7", 43},
+		{"a shifted border", "POST", "bookings.example/", "book?id=7", 42},
+	} {
+		g := poison.NewFingerprint(test.method, test.host, test.path, test.digest)
+		c.Assert(seen[g], qt.Equals, "", qt.Commentf(test.desc))
+		seen[g] = test.desc
+	}
+	back, err := poison.ParseFingerprint(f.String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(back, qt.Equals, f)
+	c.Assert(poison.Fingerprint(7).String(), qt.Equals, "0000000000000007")
+	_, err = poison.ParseFingerprint("not hexadecimal")
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,97 @@
+package retry
+
+import "time"
+
+const (
+	// window is the time over which the ratio of retries to requests counts.
+	window = 10 * time.Second
+	// buckets is the number of parts into which the window is cut.
+	buckets = 10
+	// bucketWidth is the time that one part covers.
+	bucketWidth = window / buckets
+)
+
+// Config holds the settings of a Budget.
+type Config struct {
+	// Share is the number of second attempts allowed for each request, over a
+	// moving window of 10 s. A larger share hides more faults of single
+	// targets and adds more load when all targets fail.
+	Share float64
+	// Floor is the number of second attempts allowed in each window whatever
+	// the number of requests, so that a quiet service can retry at all.
+	Floor int
+}
+
+// bucket counts what happened during one part of the window.
+type bucket struct {
+	start    time.Time
+	requests int
+	retries  int
+}
+
+// Budget is the retry budget of one service. It is not safe for concurrent
+// use: its owner calls it from one goroutine and passes the time in.
+type Budget struct {
+	cfg  Config
+	ring [buckets]bucket
+}
+
+// NewBudget returns a full budget.
+func NewBudget(cfg Config) *Budget {
+	return &Budget{cfg: cfg}
+}
+
+// SetConfig replaces the settings; the counts of the window are kept.
+func (b *Budget) SetConfig(cfg Config) {
+	b.cfg = cfg
+}
+
+// Request counts one request of a caller; second attempts are not counted.
+func (b *Budget) Request(now time.Time) {
+	b.bucket(now).requests++
+}
+
+// Take asks for one second attempt, a retry or a hedge. Queued says that work
+// of the service waits for a slot: a second attempt would then take the place
+// of a first one, so the budget is empty. Take reports whether the attempt is
+// granted; if so it is counted.
+func (b *Budget) Take(now time.Time, queued bool) bool {
+	if queued || b.Left(now) < 1 {
+		return false
+	}
+	b.bucket(now).retries++
+	return true
+}
+
+// Left returns the number of second attempts that would be granted now if no
+// work waited.
+func (b *Budget) Left(now time.Time) int {
+	requests, retries := b.sum(now)
+	return b.cfg.Floor + int(b.cfg.Share*float64(requests)) - retries
+}
+
+// sum adds up what lies within the window.
+func (b *Budget) sum(now time.Time) (requests, retries int) {
+	for i := range b.ring {
+		if age := now.Sub(b.ring[i].start); age >= window || age < 0 {
+			continue
+		}
+		requests += b.ring[i].requests
+		retries += b.ring[i].retries
+	}
+	return requests, retries
+}
+
+// bucket returns the part of the window that now falls into, emptied if it
+// last served an earlier round.
+func (b *Budget) bucket(now time.Time) *bucket {
+	start := now.Truncate(bucketWidth)
+	i := (start.UnixNano() / int64(bucketWidth)) % buckets
+	if i < 0 {
+		i += buckets
+	}
+	if !b.ring[i].start.Equal(start) {
+		b.ring[i] = bucket{start: start}
+	}
+	return &b.ring[i]
+}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,82 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/retry"
+)
+
+var start = time.Date(2026, 7, 1, 6, 0, 0, 0, time.UTC)
+
+// take asks n times and returns how often the budget granted.
+func take(b *retry.Budget, now time.Time, queued bool, n int) int {
+	granted := 0
+	for range n {
+		if b.Take(now, queued) {
+			granted++
+		}
+	}
+	return granted
+}
+
+func TestBudget(t *testing.T) {
+	for _, test := range []struct {
+		desc     string
+		cfg      retry.Config
+		requests int
+		wait     time.Duration
+		queued   bool
+		want     int
+	}{
+		{"a quiet service has the floor", retry.Config{Share: 0.1, Floor: 3}, 0, 0, false, 3},
+		{"the share comes on top", retry.Config{Share: 0.1, Floor: 3}, 200, 0, false, 23},
+		{"empty while work waits", retry.Config{Share: 0.1, Floor: 3}, 200, 0, true, 0},
+		{"requests count for the window", retry.Config{Share: 0.1}, 200, 9 * time.Second, false, 20},
+		{"requests before the window are forgotten", retry.Config{Share: 0.1}, 200, 10 * time.Second, false, 0},
+		{"nothing allowed", retry.Config{}, 1000, 0, false, 0},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			b := retry.NewBudget(test.cfg)
+			for range test.requests {
+				b.Request(start)
+			}
+			got := take(b, start.Add(test.wait), test.queued, 1000)
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestSpentBudgetComesBackWithTheWindow(t *testing.T) {
+	c := qt.New(t)
+	b := retry.NewBudget(retry.Config{Share: 0.1, Floor: 2})
+	c.Assert(take(b, start, false, 10), qt.Equals, 2)
+	c.Assert(take(b, start.Add(9*time.Second), false, 10), qt.Equals, 0)
+	c.Assert(take(b, start.Add(10*time.Second), false, 10), qt.Equals, 2)
+}
+
+func TestRetriesStayUnderTheShareOfAllRequests(t *testing.T) {
+	c := qt.New(t)
+	b := retry.NewBudget(retry.Config{Share: 0.1, Floor: 3})
+	granted, requests := 0, 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(10 * time.Millisecond) {
+		b.Request(now)
+		requests++
+		granted += take(b, now, false, 1) // every request fails once
+	}
+	windows := 6
+	c.Assert(granted <= requests/10+windows*3+3, qt.IsTrue, qt.Commentf("%d of %d", granted, requests))
+	c.Assert(granted >= requests/10-10, qt.IsTrue, qt.Commentf("%d of %d", granted, requests))
+}
+
+func TestNewShareTakesEffectAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := retry.NewBudget(retry.Config{Share: 0.1})
+	for range 100 {
+		b.Request(start)
+	}
+	b.SetConfig(retry.Config{Share: 0.2})
+	c.Assert(b.Left(start), qt.Equals, 20)
+}
