--- a/node/forward.go
+++ b/node/forward.go
@@ -87,20 +87,18 @@
 
 // hopResult reads the answer of a home.
 func hopResult(ans *exchange.Answer, body *answerBody) result {
-	reason := outcome.Reason(ans.Response.Header.Peek(hopReason))
-	settle := func(error) { _ = ans.Body.Close() }
-	if reason == "" || reason == outcome.ReasonAnswered {
-		return result{
-			outcome:  outcome.New(outcome.ReasonAnswered, "", 0),
-			response: ans.Response,
-			body:     body,
-			settle:   settle,
-		}
-	}
-	return result{
-		outcome: outcome.New(reason, "", retryAfter(ans.Response)),
-		settle:  settle,
+	h := &ans.Response.Header
+	o, _ := outcome.Parse(
+		string(h.Peek(outcome.Header)),
+		string(h.Peek(outcome.ReasonHeader)),
+		string(h.Peek(headerRetryAfter)),
+	)
+	res := result{outcome: o, settle: func(error) { _ = ans.Body.Close() }}
+	if o.Kind == outcome.Run {
+		res.response = ans.Response
+		res.body = body
 	}
+	return res
 }
 
 // sign adds the headers by which a peer knows the request and its sender.
--- a/node/headers.go
+++ b/node/headers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cockroachdb/errors"
@@ -20,13 +21,13 @@
 	// headerCaller names the caller, as set by the platform's balancer.
 	headerCaller = "Filbertmill-Caller"
 	// headerRequestID identifies the request in answers, logs and explanations.
-	headerRequestID = "X-Request-Id"
-	headerForwardedFor   = "X-Forwarded-For"
-	headerProxyStatus    = "Proxy-Status"
-	headerRetryAfter     = "Retry-After"
-	headerVia            = "Via"
-	headerForwarded      = "Forwarded"
-	headerTargetLeaving  = "Target-Leaving"
+	headerRequestID     = "X-Request-Id"
+	headerForwardedFor  = "X-Forwarded-For"
+	headerProxyStatus   = "Proxy-Status"
+	headerRetryAfter    = "Retry-After"
+	headerVia           = "Via"
+	headerForwarded     = "Forwarded"
+	headerTargetLeaving = "Target-Leaving"
 )
 
 // Headers on the hop between two nodes; callers cannot set them.
@@ -37,7 +38,6 @@
 	hopTimeLeft  = hopPrefix + "Time-Left-Ms"
 	hopNode      = hopPrefix + "Node"
 	hopSignature = hopPrefix + "Signature"
-	hopReason    = hopPrefix + "Reason"
 )
 
 // hopByHop lists the headers that concern one connection only (RFC 9110, 7.6.1).
@@ -119,7 +119,7 @@
 		h.Del(name)
 	}
 	h.Del(exchange.AttemptHeader)
-	h.Del(hopReason)
+	h.Del(outcome.ReasonHeader)
 	h.Del(outcome.Header)
 	h.SetConnectionClose(false)
 }
@@ -144,3 +144,23 @@
 	}
 	h.Set(headerVia, via)
 }
+
+// addForwarded appends the connection's other end to the Forwarded header (RFC 7239).
+func addForwarded(h *protocol.RequestHeader, ctx *app.RequestContext) {
+	element := "for=" + forwardedNode(remoteHost(ctx))
+	if old := h.Get(headerForwarded); old != "" {
+		element = old + ", " + element
+	}
+	h.Set(headerForwarded, element)
+}
+
+// forwardedNode writes an IP address as RFC 7239 wants it.
+func forwardedNode(host string) string {
+	if strings.Contains(host, ":") {
+		return `"[` + host + `]"`
+	}
+	if host == "" {
+		return "unknown"
+	}
+	return host
+}
--- a/node/home.go
+++ b/node/home.go
@@ -45,7 +45,8 @@
 		if try == maxAttempts || !n.mayRetry(ctx, r, a) {
 			return last
 		}
-		n.finish(r, a, nil)
+		last.settle(nil)
+		last.settle = nil
 		exclude = append(exclude, a.target)
 		n.Emit(event.Event{
 			Time: time.Now(), Kind: event.KindRetry, Service: r.service.Name, Target: a.target,
@@ -204,6 +205,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if a.body != nil && a.body.stream != nil {
+		return false
+	}
 	switch a.verdict {
 	case pool.VerdictAnswered, pool.VerdictCancelled, pool.VerdictTimeout:
 		return false
