--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -1,4 +1,76 @@
-// Command filbertmill runs and operates the proxy fleet.
+// Command filbertmill runs and operates a proxy fleet for targets that are
+// licensed per copy.
+//
+// Exit codes: 0 success; 1 the command found a problem or failed; 2 the
+// command line is wrong.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of all commands.
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+// arguments are the commands of the program.
+type arguments struct {
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node until it is told to stop"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"report every problem in settings or configuration files"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run three nodes and stand-in targets in one process"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description is printed above the help.
+func (arguments) Description() string {
+	return "filbertmill is a proxy fleet for targets that are licensed per copy."
+}
+
+// Epilogue is printed below the help.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 success, 1 a problem was found or the command failed, 2 wrong command line."
+}
+
+// runner is one command.
+type runner interface {
+	run() int
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run executes the command line and returns the exit code.
+func run(line []string) int {
+	var args arguments
+	p, err := arg.NewParser(arg.Config{Program: "filbertmill"}, &args)
+	if err != nil {
+		panic("the command line is declared wrongly: " + err.Error())
+	}
+	switch err := p.Parse(line); {
+	case err == arg.ErrHelp:
+		_ = p.WriteHelpForSubcommand(os.Stdout, p.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "filbertmill:", err)
+		return exitUsage
+	}
+	cmd, ok := p.Subcommand().(runner)
+	if !ok {
+		p.WriteHelp(os.Stderr)
+		return exitUsage
+	}
+	return cmd.run()
+}
+
+// report prints an error and returns the exit code for it.
+func report(err error) int {
+	fmt.Fprintln(os.Stderr, "filbertmill:", err)
+	return exitError
+}
--- a/node/forward.go
+++ b/node/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/exchange"
 	"filbertmill.example/fleet"
@@ -21,12 +22,12 @@
 
 // serve runs a request here or at its service's home.
 func (n *Node) serve(ctx context.Context, r *request) result {
-	if r.service.Variant == "direct" {
+	if r.service.Variant == dynamic.VariantDirect {
 		return n.runHere(ctx, r)
 	}
 	last := refused(outcome.ReasonNoHome, "")
 	for _, m := range n.homes(r.service.Name) {
-		if m.Name == n.settings.Name {
+		if m.Name() == n.settings.Name {
 			return n.runHere(ctx, r)
 		}
 		res, next := n.forward(ctx, r, m)
@@ -36,7 +37,7 @@
 		last = res
 		n.Emit(event.Event{
 			Time: time.Now(), Kind: event.KindFailover, Service: r.service.Name, Request: r.id,
-			Rule: string(res.outcome.Reason), From: m.Name, Evidence: event.Evidence{Detail: res.outcome.Detail},
+			Rule: string(res.outcome.Reason), From: m.Name(), Evidence: event.Evidence{Detail: res.outcome.Detail},
 		})
 	}
 	return last
@@ -48,7 +49,7 @@
 	out := r.copyOnward()
 	n.sign(out, r)
 	ans, f := n.client.Do(ctx, exchange.Call{
-		Address:          m.PeerAddress,
+		Address:          m.Peer.PeerAddress,
 		Request:          out,
 		Fresh:            !r.idempotent,
 		MaxResponseBytes: r.route.MaxResponseBytes,
@@ -74,14 +75,14 @@
 	case f.Cause == exchange.CauseCancelled || f.Cause == exchange.CauseRequestBody:
 		return refused(outcome.ReasonCallerLeft, f.Error()), false
 	case f.NotSent() && ctx.Err() == nil:
-		n.suspect(m.Name)
+		n.suspect(m.Name())
 		return refused(outcome.ReasonNoHome, f.Error()), r.body.replayable()
 	case f.NotSent():
 		return refused(outcome.ReasonTooLate, f.Error()), false
 	case f.Cause == exchange.CauseTimeout:
 		return refused(outcome.ReasonTimeout, f.Error()), false
 	}
-	n.suspect(m.Name)
+	n.suspect(m.Name())
 	return refused(outcome.ReasonHomeLost, f.Error()), r.resendable()
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -8,6 +8,7 @@
 
 	"filbertmill.example/config/static"
 	"filbertmill.example/fleet"
+	"filbertmill.example/fleet/control"
 )
 
 // suspicionTime is how long a node that could not be reached is tried last.
@@ -25,18 +26,18 @@
 // newMemberList starts from the settings: this node and its seeds.
 func newMemberList(s *static.Settings) *memberList {
 	l := &memberList{suspects: make(map[string]time.Time)}
-	l.members = append(l.members, fleet.Member{
+	l.members = append(l.members, fleet.Member{Peer: control.Peer{
 		Name: s.Name, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		PeerAddress: s.PeerAddress, ControlAddress: s.ControlAddress,
-	})
+	}})
 	for _, seed := range s.Seeds {
 		if seed.Name == s.Name {
 			continue
 		}
-		l.members = append(l.members, fleet.Member{
+		l.members = append(l.members, fleet.Member{Peer: control.Peer{
 			Name: seed.Name, AvailabilityZone: seed.AvailabilityZone,
 			PeerAddress: seed.PeerAddress, ControlAddress: seed.ControlAddress,
-		})
+		}})
 	}
 	return l
 }
@@ -52,7 +53,7 @@
 	n.members.mu.Lock()
 	defer n.members.mu.Unlock()
 	for _, m := range ranked {
-		if now.Before(n.members.suspects[m.Name]) {
+		if now.Before(n.members.suspects[m.Name()]) {
 			late = append(late, m)
 			continue
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
@@ -25,7 +24,6 @@
 	control  *control
 	routes   atomic.Pointer[routeTable]
 	members  *memberList
-	ring     *event.Ring
 	stats    *stats
 	lastID   atomic.Uint64
 	inFlight atomic.Int64
@@ -44,7 +42,6 @@
 		settings: settings,
 		log:      log,
 		client:   exchange.NewClient(exchange.Options{Name: settings.Name}),
-		ring:     event.NewRing(settings.EventRing),
 		stats:    newStats(),
 	}
 	n.members = newMemberList(settings)
@@ -116,10 +113,9 @@
 	return err
 }
 
-// Emit implements event.Sink: it keeps the event for explanation and logs it.
+// Emit implements event.Sink: it counts the event and logs it.
 func (n *Node) Emit(e event.Event) {
 	e.Node = n.settings.Name
-	n.ring.Emit(e)
 	n.stats.countEvent(e.Kind)
 	level := hclog.Info
 	if e.Kind == event.KindRefusal || e.Kind == event.KindRetry || e.Kind == event.KindShed {
@@ -137,5 +133,3 @@
 		}
 	}
 }
-
-var _ server.Hertz
