--- /dev/null
+++ b/fleet/control/transport_test.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	qt "github.com/frankban/quicktest"
+)
+
+const testKey = "0123456789abcdef-shared"
+
+type ping struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func start(t *testing.T, name, key string) (*Transport, Peer) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	return startOn(t, name, key, l)
+}
+
+func startOn(t *testing.T, name, key string, l net.Listener) (*Transport, Peer) {
+	t.Helper()
+	tr, err := New(Config{Name: name, Key: []byte(key), Seed: 1})
+	qt.Assert(t, err, qt.IsNil)
+	served := make(chan error, 1)
+	go func() { served <- tr.Serve(l) }()
+	t.Cleanup(func() {
+		qt.Check(t, tr.Close(), qt.IsNil)
+		qt.Check(t, <-served, qt.IsNil)
+	})
+	return tr, Peer{Name: name, ControlAddress: l.Addr().String()}
+}
+
+func echo(_ context.Context, from string, body []byte) (any, error) {
+	var p ping
+	if err := Unmarshal(body, &p); err != nil {
+		return nil, err
+	}
+	if p.Text == "fail" {
+		return nil, errors.New("asked to fail")
+	}
+	return ping{Text: from + ":" + p.Text}, nil
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCallAndSend(t *testing.T) {
+	a, _ := start(t, "a", testKey)
+	b, toB := start(t, "b", testKey)
+	b.Handle("echo", echo)
+	got := make(chan string, 1)
+	b.Handle("note", func(_ context.Context, from string, _ []byte) (any, error) {
+		got <- from
+		return nil, nil
+	})
+	ctx := testContext(t)
+
+	var reply ping
+	qt.Assert(t, a.Call(ctx, toB, "echo", ping{Text: "x"}, &reply), qt.IsNil)
+	qt.Assert(t, reply.Text, qt.Equals, "a:x")
+
+	err := a.Call(ctx, toB, "echo", ping{Text: "fail"}, &reply)
+	var remote *RemoteError
+	qt.Assert(t, errors.As(err, &remote), qt.IsTrue)
+	qt.Assert(t, remote.Text, qt.Equals, "asked to fail")
+
+	qt.Assert(t, a.Send(ctx, toB, "note", ping{}), qt.IsNil)
+	qt.Assert(t, <-got, qt.Equals, "a")
+	qt.Assert(t, a.Counters().Dials, qt.Equals, int64(1))
+	qt.Assert(t, a.Counters().SentBytes, qt.Equals, b.Counters().ReceivedBytes)
+}
+
+func TestUnknownKindIsIgnoredAndCounted(t *testing.T) {
+	a, _ := start(t, "a", testKey)
+	b, toB := start(t, "b", testKey)
+	b.Handle("echo", echo)
+	ctx := testContext(t)
+	qt.Assert(t, a.Send(ctx, toB, "newer", ping{}), qt.IsNil)
+	qt.Assert(t, a.Call(ctx, toB, "newer", ping{}, nil), qt.ErrorMatches, `b: unknown kind "newer"`)
+	qt.Assert(t, a.Call(ctx, toB, "echo", ping{}, nil), qt.IsNil)
+	qt.Assert(t, b.Counters().UnknownKinds, qt.Equals, int64(2))
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	b, toB := start(t, "b", testKey)
+	called := make(chan struct{}, 1)
+	b.Handle("echo", func(context.Context, string, []byte) (any, error) {
+		called <- struct{}{}
+		return nil, nil
+	})
+	stranger, toStranger := start(t, "s", "another key, as long")
+	ctx := testContext(t)
+	qt.Assert(t, stranger.Call(ctx, toB, "echo", ping{}, nil), qt.IsNotNil)
+	err := b.Call(ctx, toStranger, "echo", ping{}, nil)
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, len(called), qt.Equals, 0)
+	qt.Assert(t, b.Counters().RefusedPeers, qt.Equals, int64(1))
+}
+
+func TestFrameWithoutTagEndsTheConnection(t *testing.T) {
+	b, toB := start(t, "b", testKey)
+	called := make(chan struct{}, 1)
+	b.Handle("echo", func(context.Context, string, []byte) (any, error) {
+		called <- struct{}{}
+		return nil, nil
+	})
+	ctx := testContext(t)
+	ws, _, err := websocket.Dial(ctx, "ws://"+toB.ControlAddress+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	defer ws.CloseNow()
+	_, err = handshake(ctx, ws, roleDialer, "a", []byte(testKey))
+	qt.Assert(t, err, qt.IsNil)
+	data, err := Encode(Envelope{Version: Version, Kind: "echo"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, ws.Write(ctx, websocket.MessageBinary, append(data, make([]byte, sealBytes)...)), qt.IsNil)
+	_, _, err = ws.Read(ctx)
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, len(called), qt.Equals, 0)
+}
+
+func TestSealerRefusesRepeatedFrames(t *testing.T) {
+	key := []byte(testKey)
+	out, in := newSealer(key, roleDialer), newSealer(key, roleDialer)
+	frame := out.seal([]byte("one"))
+	data, err := in.open(frame)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(data), qt.Equals, "one")
+	_, err = in.open(frame)
+	qt.Assert(t, errors.Is(err, ErrNotAuthenticated), qt.IsTrue)
+}
+
+func TestMessagesAreBounded(t *testing.T) {
+	a, _ := start(t, "a", testKey)
+	b, toB := start(t, "b", testKey)
+	b.Handle("big", func(context.Context, string, []byte) (any, error) {
+		return ping{Text: strings.Repeat("x", MaxMessageBytes)}, nil
+	})
+	ctx := testContext(t)
+	err := a.Send(ctx, toB, "echo", ping{Text: strings.Repeat("x", MaxMessageBytes)})
+	qt.Assert(t, errors.Is(err, ErrTooLarge), qt.IsTrue)
+	err = a.Call(ctx, toB, "big", ping{}, nil)
+	qt.Assert(t, err, qt.ErrorMatches, "b: control message too large")
+}
+
+func TestReconnectAfterRestart(t *testing.T) {
+	a, _ := start(t, "a", testKey)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	b, err := New(Config{Name: "b", Key: []byte(testKey)})
+	qt.Assert(t, err, qt.IsNil)
+	b.Handle("echo", echo)
+	go func() { _ = b.Serve(l) }()
+	toB := Peer{Name: "b", ControlAddress: l.Addr().String()}
+	ctx := testContext(t)
+	qt.Assert(t, a.Call(ctx, toB, "echo", ping{}, nil), qt.IsNil)
+	qt.Assert(t, b.Close(), qt.IsNil)
+
+	again, err := net.Listen("tcp", toB.ControlAddress)
+	qt.Assert(t, err, qt.IsNil)
+	restarted, _ := startOn(t, "b", testKey, again)
+	restarted.Handle("echo", echo)
+	for a.Call(ctx, toB, "echo", ping{}, nil) != nil {
+		qt.Assert(t, ctx.Err(), qt.IsNil)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
