--- /dev/null
+++ b/testbed/target/reply.go
@@ -0,0 +1,83 @@
+package target
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"filbertmill.example/testbed/answer"
+)
+
+// reply sends an answer in the way that the behavior asks for.
+func (t *Target) reply(w http.ResponseWriter, b Behavior, body []byte, id string) {
+	h := w.Header()
+	h.Set(answer.HeaderRequest, id)
+	h.Set("Content-Type", "text/plain")
+	switch {
+	case t.draw(b.TruncateShare):
+		c := hijack(w)
+		if c == nil {
+			return
+		}
+		c.Write(truncated(h, body, b.TruncateChunked))
+		c.Close()
+	case t.draw(b.DoubleShare):
+		c := hijack(w)
+		if c == nil {
+			return
+		}
+		c.Write(bytes.Repeat(whole(h, body), 2))
+		c.Close()
+	case t.draw(b.LateShare):
+		time.Sleep(b.LateBy)
+		c := hijack(w)
+		if c == nil {
+			return
+		}
+		c.Write(whole(h, body))
+		c.Close()
+	default:
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		w.Write(body)
+	}
+}
+
+// hijack takes the connection over, or returns nil if it is gone.
+func hijack(w http.ResponseWriter) net.Conn {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
+func whole(h http.Header, body []byte) []byte {
+	var b bytes.Buffer
+	head(&b, h, fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+	b.Write(body)
+	return b.Bytes()
+}
+
+// truncated returns an answer with the first half of its body.
+func truncated(h http.Header, body []byte, chunked bool) []byte {
+	half := body[:len(body)/2]
+	var b bytes.Buffer
+	if chunked {
+		head(&b, h, "Transfer-Encoding: chunked\r\n")
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(half), half)
+		return b.Bytes()
+	}
+	head(&b, h, fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+	b.Write(half)
+	return b.Bytes()
+}
+
+func head(b *bytes.Buffer, h http.Header, framing string) {
+	b.WriteString("HTTP/1.1 200 OK\r\n")
+	h.Write(b)
+	b.WriteString(framing)
+	b.WriteString("\r\n")
+}
--- /dev/null
+++ b/testbed/target/work.go
@@ -0,0 +1,136 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertmill.example/testbed/answer"
+)
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	b := t.Behavior()
+	if b.Swallow {
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
+	t.announce(w.Header())
+	switch r.URL.Path {
+	case HealthPath:
+		t.serveHealth(w)
+	case LoadPath:
+		t.serveLoad(w)
+	default:
+		t.serveWork(w, r, b)
+	}
+}
+
+// serveWork runs one request on a slot.
+func (t *Target) serveWork(w http.ResponseWriter, r *http.Request, b Behavior) {
+	digest, err := digestOf(r.Body)
+	if err != nil {
+		return // the caller left while it sent
+	}
+	if !t.acquire(r.Context()) {
+		w.Header().Set(answer.HeaderShed, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-t.slots }()
+
+	run := t.begin(r)
+	if r.Header.Get(answer.HeaderPoison) != "" {
+		t.Crash()
+		return
+	}
+	fails := t.draw(b.FailShare)
+	if t.draw(b.HangShare) {
+		<-r.Context().Done()
+		return
+	}
+	if !(fails && b.FailFast) && !wait(r.Context(), t.workTime(r, b)) {
+		return // cancelled
+	}
+	t.ledger.done(run)
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	size, _ := strconv.Atoi(r.Header.Get(answer.HeaderBytes))
+	t.reply(w, b, answer.Make(run.Request, digest, size), run.Request)
+}
+
+// acquire takes a slot; false means that the request is shed or its caller left.
+func (t *Target) acquire(ctx context.Context) bool {
+	if t.cfg.Overflow == OverflowShed {
+		select {
+		case t.slots <- struct{}{}:
+			return true
+		default:
+			return false
+		}
+	}
+	select {
+	case t.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t *Target) begin(r *http.Request) *Run {
+	run := Run{
+		Request: r.Header.Get(answer.HeaderRequest),
+		Target:  t.cfg.Name,
+		Start:   time.Now(),
+	}
+	if since, leaving := t.leavingSince(); leaving {
+		run.SinceLeaving = run.Start.Sub(since)
+	}
+	return t.ledger.started(run)
+}
+
+// workTime returns how long the request takes in the target's present state.
+func (t *Target) workTime(r *http.Request, b Behavior) time.Duration {
+	d, err := time.ParseDuration(r.Header.Get(answer.HeaderWork))
+	if err != nil {
+		d = t.cfg.Work
+	}
+	factor := 1.0
+	if b.SlowFactor > 0 {
+		factor = b.SlowFactor
+	}
+	t.mu.Lock()
+	cold := time.Now().Before(t.warm)
+	t.mu.Unlock()
+	if cold && t.cfg.ColdFactor > 0 {
+		factor *= t.cfg.ColdFactor
+	}
+	return time.Duration(float64(d) * factor)
+}
+
+// wait waits for d; false means that the context ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func digestOf(body io.Reader) (answer.Digest, error) {
+	h := xxhash.New()
+	n, err := io.Copy(h, body)
+	return answer.Digest{Bytes: n, Sum: h.Sum64()}, err
+}
