--- a/node/control.go
+++ b/node/control.go
@@ -18,11 +18,11 @@
 
 // command is a message to the control goroutine.
 type command interface {
-	apply(c *control, now time.Time)
+	apply(c *controlLoop, now time.Time)
 }
 
-// control is the state of the control goroutine. Nothing else touches it.
-type control struct {
+// controlLoop is the state of the control goroutine. Nothing else touches it.
+type controlLoop struct {
 	mailbox chan command
 	done    chan struct{}
 	now     func() time.Time
@@ -40,9 +40,9 @@
 	probe(service, target, address, path string, origin pool.Origin)
 }
 
-// newControl returns the state with no configuration in force.
-func newControl(env environment, seed uint64) *control {
-	return &control{
+// newControlLoop returns the state with no configuration in force.
+func newControlLoop(env environment, seed uint64) *controlLoop {
+	return &controlLoop{
 		mailbox: make(chan command, mailboxSize),
 		done:    make(chan struct{}),
 		now:     time.Now,
@@ -55,7 +55,7 @@
 }
 
 // run applies commands until the context ends.
-func (c *control) run(ctx context.Context) {
+func (c *controlLoop) run(ctx context.Context) {
 	defer close(c.done)
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
@@ -73,7 +73,7 @@
 }
 
 // drainMailbox applies the commands that are already waiting.
-func (c *control) drainMailbox() {
+func (c *controlLoop) drainMailbox() {
 	for range mailboxSize {
 		select {
 		case cmd := <-c.mailbox:
@@ -85,7 +85,7 @@
 }
 
 // tick does what is due and returns the time until more is.
-func (c *control) tick(now time.Time) time.Duration {
+func (c *controlLoop) tick(now time.Time) time.Duration {
 	wait := idleTick
 	for _, p := range c.pools {
 		next := p.sched.Next()
@@ -104,7 +104,7 @@
 }
 
 // send hands a command over; it reports false once the control goroutine has ended.
-func (c *control) send(cmd command) bool {
+func (c *controlLoop) send(cmd command) bool {
 	select {
 	case c.mailbox <- cmd:
 		return true
@@ -115,7 +115,7 @@
 
 // pool returns the pool of a service, made on first use, or nil if the
 // configuration has no such service.
-func (c *control) pool(service string, now time.Time) *servicePool {
+func (c *controlLoop) pool(service string, now time.Time) *servicePool {
 	if p := c.pools[service]; p != nil {
 		return p
 	}
--- a/node/listener.go
+++ b/node/listener.go
@@ -61,7 +61,6 @@
 		server.WithDisablePrintRoute(true),
 		server.WithRedirectTrailingSlash(false),
 		server.WithUnescapePathValues(false),
-		server.WithNoDefaultServerHeader(true),
 		server.WithDisableDefaultContentType(true),
 		server.WithExitWaitTime(closeTimeout),
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -21,7 +21,7 @@
 	settings *static.Settings
 	log      hclog.Logger
 	client   *exchange.Client
-	control  *control
+	control  *controlLoop
 	routes   atomic.Pointer[routeTable]
 	members  *memberList
 	stats    *stats
@@ -45,7 +45,7 @@
 		stats:    newStats(),
 	}
 	n.members = newMemberList(settings)
-	n.control = newControl(n, seedOf(settings.Name))
+	n.control = newControlLoop(n, seedOf(settings.Name))
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -12,7 +12,7 @@
 // servicePool ties one service's Scheduler to the node; it is the Scheduler's
 // Delegate and belongs to the control goroutine.
 type servicePool struct {
-	control *control
+	control *controlLoop
 	service *dynamic.Service
 	sched   pool.Scheduler
 	address map[string]string
@@ -27,7 +27,7 @@
 }
 
 // newServicePool makes the pool of a service with the targets listed for it.
-func newServicePool(c *control, svc *dynamic.Service, now time.Time) *servicePool {
+func newServicePool(c *controlLoop, svc *dynamic.Service, now time.Time) *servicePool {
 	p := &servicePool{control: c, waiting: make(map[pool.RequestID]chan<- grant)}
 	cfg := poolConfig(svc, c.config.Targets)
 	if svc.Variant == dynamic.VariantDirect {
@@ -81,7 +81,8 @@
 			slots += poolTarget(svc, t, false).Slots
 		}
 	}
-	cfg := pool.DefaultConfig(svc.Name)
+	cfg := pool.DefaultConfig()
+	cfg.Service = svc.Name
 	cfg.FloorSlots = floorSlots(slots, svc.FloorShare)
 	cfg.QueueLimit = svc.QueueLimit
 	cfg.CallerShare = svc.CallerShare
@@ -141,7 +142,7 @@
 	reply   chan<- grant
 }
 
-func (m submitCommand) apply(c *control, now time.Time) {
+func (m submitCommand) apply(c *controlLoop, now time.Time) {
 	p := c.pool(m.service, now)
 	if p == nil {
 		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
@@ -158,7 +159,7 @@
 	reply   <-chan grant
 }
 
-func (m abandonCommand) apply(c *control, now time.Time) {
+func (m abandonCommand) apply(c *controlLoop, now time.Time) {
 	p := c.pools[m.service]
 	if p == nil {
 		return
@@ -180,7 +181,7 @@
 	result  pool.Result
 }
 
-func (m finishCommand) apply(c *control, now time.Time) {
+func (m finishCommand) apply(c *controlLoop, now time.Time) {
 	if p := c.pools[m.service]; p != nil {
 		p.sched.Finish(now, m.id, m.result)
 	}
@@ -192,7 +193,7 @@
 	observation pool.Observation
 }
 
-func (m observeCommand) apply(c *control, now time.Time) {
+func (m observeCommand) apply(c *controlLoop, now time.Time) {
 	if p := c.pools[m.service]; p != nil {
 		p.sched.Observe(now, m.observation)
 	}
@@ -203,7 +204,7 @@
 	config *dynamic.Config
 }
 
-func (m configCommand) apply(c *control, now time.Time) {
+func (m configCommand) apply(c *controlLoop, now time.Time) {
 	c.config = m.config
 	listed := make(map[string]*dynamic.Service)
 	for i := range m.config.Services {
@@ -224,7 +225,7 @@
 	targets map[string]bool
 }
 
-func (m leavingCommand) apply(c *control, now time.Time) {
+func (m leavingCommand) apply(c *controlLoop, now time.Time) {
 	c.leaving = m.targets
 	for _, p := range c.pools {
 		p.configure(p.service, now)
@@ -236,7 +237,7 @@
 	reply chan<- []pool.Snapshot
 }
 
-func (m snapshotCommand) apply(c *control, now time.Time) {
+func (m snapshotCommand) apply(c *controlLoop, now time.Time) {
 	list := make([]pool.Snapshot, 0, len(c.pools))
 	for _, p := range c.pools {
 		list = append(list, p.sched.Snapshot(now))
