--- /dev/null
+++ b/config/source/document.go
@@ -0,0 +1,113 @@
+package source
+
+import (
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Document is an INI text with the place of each section and key.
+type Document struct {
+	// Sections are in the order of the text.
+	Sections []*Section
+}
+
+// Section is one section of a Document.
+type Section struct {
+	// File is the document's file name.
+	File string
+	// Header is the whole text between the brackets, for example "service bookings".
+	Header string
+	// Kind is the first word of the header and Name the rest.
+	Kind string
+	Name string
+	// Line is the line of the header.
+	Line int
+	// Entries are the keys in the order of the text.
+	Entries []Entry
+}
+
+// Entry is one key with its value.
+type Entry struct {
+	Key   string
+	Value string
+	Line  int
+}
+
+// loadOptions make every value end with its line and keep its signs as they are.
+var loadOptions = ini.LoadOptions{
+	IgnoreContinuation:      true,
+	IgnoreInlineComment:     true,
+	PreserveSurroundedQuote: true,
+	KeyValueDelimiters:      keyDelimiter,
+}
+
+// Read reads INI text. Faulty lines are reported and left out of the document.
+func Read(file string, src []byte) (*Document, []Problem) {
+	x := &index{file: file, lines: map[place]int{}}
+	text := x.scan(src)
+	parsed, err := ini.LoadSources(loadOptions, text)
+	if err != nil {
+		x.reject(1, "", "not an INI file: %v", err)
+		return &Document{}, x.problems
+	}
+	doc := &Document{}
+	for _, section := range parsed.Sections() {
+		line, found := x.lines[place{section: section.Name()}]
+		if !found {
+			continue
+		}
+		doc.Sections = append(doc.Sections, x.convert(section, line))
+	}
+	return doc, x.problems
+}
+
+// Entry returns the entry with the key, or nil.
+func (s *Section) Entry(key string) *Entry {
+	for i := range s.Entries {
+		if s.Entries[i].Key == key {
+			return &s.Entries[i]
+		}
+	}
+	return nil
+}
+
+// Problem returns a Problem at the key, or at the section's header if the key
+// is not given there.
+func (s *Section) Problem(key, format string, args ...any) Problem {
+	p := Problem{File: s.File, Line: s.Line, Section: s.Header, Key: key, Text: fmt.Sprintf(format, args...)}
+	if entry := s.Entry(key); entry != nil {
+		p.Line = entry.Line
+	}
+	return p
+}
+
+// All returns the sections of a kind, in the order of the text.
+func (d *Document) All(kind string) []*Section {
+	var sections []*Section
+	for _, s := range d.Sections {
+		if s.Kind == kind {
+			sections = append(sections, s)
+		}
+	}
+	return sections
+}
+
+// reject records a problem at a line and returns false.
+func (x *index) reject(line int, key, format string, args ...any) bool {
+	p := Problem{File: x.file, Line: line, Section: x.section, Key: key, Text: fmt.Sprintf(format, args...)}
+	x.problems = append(x.problems, p)
+	return false
+}
+
+// convert builds a Section from what the library read.
+func (x *index) convert(from *ini.Section, line int) *Section {
+	kind, name, _ := strings.Cut(from.Name(), " ")
+	s := &Section{File: x.file, Header: from.Name(), Kind: kind, Name: strings.TrimSpace(name), Line: line}
+	for _, key := range from.Keys() {
+		at := x.lines[place{section: from.Name(), key: key.Name()}]
+		s.Entries = append(s.Entries, Entry{Key: key.Name(), Value: key.Value(), Line: at})
+	}
+	return s
+}
