--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/outcome"
+)
+
+// maxRequestIDLength is the longest request id, in bytes, taken from a caller.
+const maxRequestIDLength = 128
+
+// handleCaller serves a request from a caller.
+func (n *Node) handleCaller(c context.Context, ctx *app.RequestContext) {
+	done := n.begin()
+	id := requestID(ctx)
+	r, refusal := n.accept(ctx, id)
+	if r == nil {
+		n.respond(ctx, id, refusal, callerSide)
+		done()
+		return
+	}
+	r.onward.Header.Set(headerRequestID, id)
+	addVia(&r.onward.Header, n.settings.Name)
+	addForwarded(&r.onward.Header, ctx)
+	n.run(c, ctx, r, callerSide, n.serve, done)
+}
+
+// handlePeer serves a request that another node forwarded.
+func (n *Node) handlePeer(c context.Context, ctx *app.RequestContext) {
+	done := n.begin()
+	id := requestID(ctx)
+	r, refusal := n.acceptForwarded(ctx, id)
+	if r == nil {
+		n.respond(ctx, id, refusal, peerSide)
+		done()
+		return
+	}
+	n.run(c, ctx, r, peerSide, n.runHere, done)
+}
+
+// run serves an accepted request and answers it.
+func (n *Node) run(
+	c context.Context, ctx *app.RequestContext, r *request, s side,
+	serve func(context.Context, *request) result, done func(),
+) {
+	c, cancel := context.WithDeadline(c, r.deadline)
+	res := serve(c, r)
+	settle := res.settle
+	res.settle = func(err error) {
+		if settle != nil {
+			settle(err)
+		}
+		cancel()
+		done()
+	}
+	n.respond(ctx, r.id, res, s)
+}
+
+// accept checks a caller's request and finds its route. It returns nil and the
+// answer if the request cannot be served.
+func (n *Node) accept(ctx *app.RequestContext, id string) (*request, result) {
+	h := &ctx.Request.Header
+	if err := checkFraming(h); err != nil {
+		ctx.Response.SetConnectionClose()
+		return nil, refused(outcome.ReasonBadRequest, err.Error())
+	}
+	table := n.routes.Load()
+	rt := table.match(string(h.Host()), string(ctx.Path()))
+	if rt == nil {
+		return nil, refused(outcome.ReasonNoRoute, "")
+	}
+	timeout, err := callerTimeout(string(h.Peek(headerTimeout)), rt.Timeout)
+	if err != nil {
+		return nil, refused(outcome.ReasonBadRequest, err.Error())
+	}
+	r := &request{
+		id:         id,
+		service:    table.services[rt.Service],
+		route:      rt,
+		caller:     callerName(ctx),
+		idempotent: idempotent(rt, string(h.Method())),
+		deadline:   time.Now().Add(timeout),
+		onward:     onwardRequest(h),
+	}
+	return n.withBody(ctx, r)
+}
+
+// acceptForwarded checks a request that a peer forwarded.
+func (n *Node) acceptForwarded(ctx *app.RequestContext, id string) (*request, result) {
+	h := &ctx.Request.Header
+	if !authentic(n.settings.SharedKey, h) {
+		ctx.Response.SetConnectionClose()
+		return nil, refused(outcome.ReasonNotAuthenticated, "")
+	}
+	if n.draining.Load() {
+		return nil, refused(outcome.ReasonShutdown, "")
+	}
+	table := n.routes.Load()
+	rt := table.route(string(h.Peek(hopRoute)))
+	if rt == nil {
+		return nil, refused(outcome.ReasonNoRoute, "the home does not have the route")
+	}
+	left, err := strconv.ParseInt(string(h.Peek(hopTimeLeft)), 10, 64)
+	if err != nil {
+		return nil, refused(outcome.ReasonBadRequest, "the time left is not a number")
+	}
+	r := &request{
+		id:         id,
+		service:    table.services[rt.Service],
+		route:      rt,
+		caller:     string(h.Peek(hopCaller)),
+		idempotent: idempotent(rt, string(h.Method())),
+		deadline:   time.Now().Add(time.Duration(left) * time.Millisecond),
+		onward:     onwardRequest(h),
+	}
+	return n.withBody(ctx, r)
+}
+
+// withBody reads the request's body, within the route's limits.
+func (n *Node) withBody(ctx *app.RequestContext, r *request) (*request, result) {
+	_ = ctx.GetConn().SetReadTimeout(time.Until(r.deadline))
+	body, err := readRequestBody(ctx, r.route.MaxRequestBytes)
+	if err == nil {
+		r.body = body
+		return r, result{}
+	}
+	ctx.Response.SetConnectionClose()
+	if errors.Is(err, errBodyTooLarge) {
+		return nil, refused(outcome.ReasonTooLarge, err.Error())
+	}
+	return nil, refused(outcome.ReasonBadRequest, err.Error())
+}
+
+// callerTimeout returns the shorter of the route's timeout and the caller's.
+func callerTimeout(value string, limit time.Duration) (time.Duration, error) {
+	if value == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
+		return 0, errors.Newf("%s is not a number of milliseconds: %q", headerTimeout, value)
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond), nil
+}
+
+// requestID returns the id that the caller gave, or a new one.
+func requestID(ctx *app.RequestContext) string {
+	id := string(ctx.Request.Header.Peek(headerRequestID))
+	if id == "" || len(id) > maxRequestIDLength {
+		return rand.Text()
+	}
+	return id
+}
+
+// callerName returns the caller as the balancer states it, or its address.
+func callerName(ctx *app.RequestContext) string {
+	if name := string(ctx.Request.Header.Peek(headerCaller)); name != "" {
+		return name
+	}
+	if list := string(ctx.Request.Header.Peek(headerForwardedFor)); list != "" {
+		first, _, _ := strings.Cut(list, ",")
+		return strings.TrimSpace(first)
+	}
+	return remoteHost(ctx)
+}
+
+// remoteHost returns the IP address of the connection's other end.
+func remoteHost(ctx *app.RequestContext) string {
+	host, _, err := net.SplitHostPort(ctx.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
+// begin counts a request as in flight until the returned function is called.
+func (n *Node) begin() func() {
+	n.inFlight.Add(1)
+	return func() { n.inFlight.Add(-1) }
+}
--- /dev/null
+++ b/node/listener.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// idleConnectionTimeout is how long a connection without a request is kept.
+	idleConnectionTimeout = 90 * time.Second
+	// progressTimeout bounds each single read or write on a connection.
+	progressTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 64 << 10
+	// maxAdminBodyBytes bounds the requests of operators.
+	maxAdminBodyBytes = 2 << 20
+	// closeTimeout bounds the closing of a listener.
+	closeTimeout = time.Second
+)
+
+// bodyMode says how a listener reads request bodies.
+type bodyMode bool
+
+// The ways to read request bodies.
+const (
+	streaming bodyMode = true
+	buffered  bodyMode = false
+)
+
+// listener is an HTTP server with the address it is bound to.
+type listener struct {
+	engine *server.Hertz
+	addr   net.Addr
+}
+
+// listen binds an address and returns a server for it that is not yet running.
+func listen(name, address string, mode bodyMode) (*listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s", name)
+	}
+	hlog.SetLevel(hlog.LevelFatal)
+	opts := []config.Option{
+		server.WithListener(ln),
+		server.WithTransport(netpoll.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		server.WithStreamBody(bool(mode)),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithDisableDefaultDate(false),
+		server.WithIdleTimeout(idleConnectionTimeout),
+		server.WithReadTimeout(progressTimeout),
+		server.WithWriteTimeout(progressTimeout),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithDisablePrintRoute(true),
+		server.WithRedirectTrailingSlash(false),
+		server.WithUnescapePathValues(false),
+		server.WithNoDefaultServerHeader(true),
+		server.WithDisableDefaultContentType(true),
+		server.WithExitWaitTime(closeTimeout),
+	}
+	if mode == buffered {
+		opts = append(opts, server.WithMaxRequestBodySize(maxAdminBodyBytes))
+	}
+	return &listener{engine: server.New(opts...), addr: ln.Addr()}, nil
+}
+
+// close ends the server; requests in flight are cut.
+func (l *listener) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = l.engine.Shutdown(ctx)
+}
