The whole path: caller, entry node, home, target and back

Cause: everything else is measured on this. Ruled out: hertz's own client, whose retries and pool hide whether a byte was written.

--- /dev/null
+++ b/integration/main_test.go
@@ -0,0 +1,90 @@
+// Package integration tests real node processes against stand-ins.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/testbed/process"
+	"filbertmill.example/testbed/target"
+)
+
+// binary is the program under test.
+var binary string
+
+// zones are the availability zones of the test fleets.
+var zones = []string{"kandy", "nuwara", "matale"}
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+// runTests builds the program, runs the tests, and removes it again.
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "filbertmill-test-")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	if binary, err = process.Build(dir); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// fleet is a number of running nodes with one fleet configuration.
+type fleet struct {
+	nodes []*process.Node
+}
+
+// startFleet starts n nodes that read the configuration from a file.
+func startFleet(c *qt.C, n int, configuration string) *fleet {
+	dir := c.TempDir()
+	file := filepath.Join(dir, "fleet.ini")
+	c.Assert(os.WriteFile(file, []byte(configuration), 0o600), qt.IsNil)
+	specs, err := process.NewSpecs(n, zones)
+	c.Assert(err, qt.IsNil)
+	f := &fleet{}
+	extra := fmt.Sprintf("[platform]\nconfig_file = %s\n\n[drain]\ndelay = 200ms\n", file)
+	for _, spec := range specs {
+		node, err := process.Start(binary, dir, spec, spec.Settings(specs, extra))
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(node.Kill)
+		f.nodes = append(f.nodes, node)
+	}
+	for _, node := range f.nodes {
+		c.Assert(node.Ready(context.Background()), qt.IsNil)
+	}
+	return f
+}
+
+// url returns a URL on which the i-th node serves callers.
+func (f *fleet) url(i int, path string) string {
+	return "http://" + f.nodes[i].Spec.Callers + path
+}
+
+// startTargets starts stand-ins of a service and returns them with their part
+// of the configuration.
+func startTargets(c *qt.C, service string, list ...target.Config) ([]*target.Target, string) {
+	var targets []*target.Target
+	var ini strings.Builder
+	for i, cfg := range list {
+		cfg.Name = fmt.Sprintf("%s-%d", service, i+1)
+		if cfg.Address == "" {
+			cfg.Address = "127.0.0.1:0"
+		}
+		t, err := target.Start(cfg)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(t.Close)
+		targets = append(targets, t)
+		fmt.Fprintf(&ini, "[target %s]\nservice = %s\naddress = %s\navailability_zone = %s\n\n",
+			cfg.Name, service, t.Address(), zones[i%len(zones)])
+	}
+	return targets, ini.String()
+}
--- a/node/listener.go
+++ b/node/listener.go
@@ -63,6 +63,7 @@
 		server.WithUnescapePathValues(false),
 		server.WithDisableDefaultContentType(true),
 		server.WithExitWaitTime(closeTimeout),
+		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	}
 	if mode == buffered {
 		opts = append(opts, server.WithMaxRequestBodySize(maxAdminBodyBytes))
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -220,18 +220,6 @@
 	}
 }
 
-// leavingCommand replaces the set of targets that the platform lists as leaving.
-type leavingCommand struct {
-	targets map[string]bool
-}
-
-func (m leavingCommand) apply(c *controlLoop, now time.Time) {
-	c.leaving = m.targets
-	for _, p := range c.pools {
-		p.configure(p.service, now)
-	}
-}
-
 // snapshotCommand asks for the state of all pools.
 type snapshotCommand struct {
 	reply chan<- []pool.Snapshot
--- /dev/null
+++ b/testbed/process/process.go
@@ -0,0 +1,187 @@
+// Package process runs real nodes as processes of their own, for integration
+// tests and measurements.
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// readyTimeout bounds the wait for a node to become ready.
+	readyTimeout = 30 * time.Second
+	// readyPoll is the time between two looks at a node's readiness.
+	readyPoll = 10 * time.Millisecond
+	// probeTimeout bounds one look.
+	probeTimeout = 2 * time.Second
+)
+
+// Build compiles the command into dir and returns the program's path.
+func Build(dir string) (string, error) {
+	bin := filepath.Join(dir, "filbertmill")
+	out, err := exec.Command("go", "build", "-o", bin, "filbertmill.example/filbertmill/cmd/filbertmill").CombinedOutput()
+	if err != nil {
+		return "", errors.Wrapf(err, "build: %s", out)
+	}
+	return bin, nil
+}
+
+// Spec describes one node before it is started.
+type Spec struct {
+	// Name and AvailabilityZone identify the node.
+	Name             string
+	AvailabilityZone string
+	// Callers, Peers, Control and Admin are its listen addresses.
+	Callers, Peers, Control, Admin string
+}
+
+// NewSpecs returns n nodes on free loopback addresses, spread over the
+// availability zones.
+func NewSpecs(n int, zones []string) ([]Spec, error) {
+	addrs, err := FreeAddresses(4 * n)
+	if err != nil {
+		return nil, err
+	}
+	specs := make([]Spec, n)
+	for i := range specs {
+		a := addrs[4*i:]
+		specs[i] = Spec{
+			Name: fmt.Sprintf("node-%d", i+1), AvailabilityZone: zones[i%len(zones)],
+			Callers: a[0], Peers: a[1], Control: a[2], Admin: a[3],
+		}
+	}
+	return specs, nil
+}
+
+// FreeAddresses returns n loopback addresses that were free when asked for.
+func FreeAddresses(n int) ([]string, error) {
+	list := make([]string, 0, n)
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		list = append(list, ln.Addr().String())
+	}
+	return list, nil
+}
+
+// Settings returns the node's settings as INI. The extra text is appended and
+// holds whole sections, such as [platform].
+func (s Spec) Settings(seeds []Spec, extra string) string {
+	list := make([]string, len(seeds))
+	for i, p := range seeds {
+		list[i] = strings.Join([]string{p.Name, p.AvailabilityZone, p.Peers, p.Control}, "@")
+	}
+	return fmt.Sprintf(`[node]
+name = %s
+availability_zone = %s
+region = test
+
+[listen]
+callers = %s
+peers = %s
+control = %s
+admin = %s
+
+[fleet]
+shared_key = integration-test-key
+seeds = %s
+
+%s`, s.Name, s.AvailabilityZone, s.Callers, s.Peers, s.Control, s.Admin, strings.Join(list, ", "), extra)
+}
+
+// Node is a running process.
+type Node struct {
+	// Spec says where it listens.
+	Spec Spec
+	// Log is the file with the node's log lines.
+	Log string
+
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Start runs the program with the given settings, whose files go into dir.
+func Start(bin, dir string, spec Spec, settings string) (*Node, error) {
+	file := filepath.Join(dir, spec.Name+".ini")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return nil, err
+	}
+	n := &Node{Spec: spec, Log: filepath.Join(dir, spec.Name+".log"), done: make(chan struct{})}
+	out, err := os.OpenFile(n.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer out.Close()
+	n.cmd = exec.Command(bin, "serve", "--config", file)
+	n.cmd.Stdout = out
+	n.cmd.Stderr = out
+	if err := n.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		n.err = n.cmd.Wait()
+		close(n.done)
+	}()
+	return n, nil
+}
+
+// Ready waits until the node says that it is ready.
+func (n *Node) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	client := &http.Client{Timeout: probeTimeout}
+	for {
+		resp, err := client.Get("http://" + n.Spec.Admin + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("%s did not become ready; see %s", n.Spec.Name, n.Log)
+		case <-n.done:
+			return errors.Newf("%s ended: %v; see %s", n.Spec.Name, n.err, n.Log)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// PID returns the process id.
+func (n *Node) PID() int { return n.cmd.Process.Pid }
+
+// Pause stops the process from running until Resume.
+func (n *Node) Pause() error { return n.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (n *Node) Resume() error { return n.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the node to drain and end; Wait tells when it has.
+func (n *Node) Terminate() error { return n.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Wait waits for the process to end and returns its error.
+func (n *Node) Wait() error {
+	<-n.done
+	return n.err
+}
+
+// Kill ends the process at once. It may be called more than once.
+func (n *Node) Kill() {
+	_ = n.cmd.Process.Kill()
+	<-n.done
+}
