--- a/testbed/answer/answer.go
+++ b/testbed/answer/answer.go
@@ -15,6 +15,8 @@
 const (
 	// HeaderRequest identifies the request; the answer repeats it.
 	HeaderRequest = "Testbed-Request"
+	// HeaderAttempt counts the times that the caller sent the request, from 1.
+	HeaderAttempt = "Testbed-Attempt"
 	// HeaderWork is the service time, as a Go duration.
 	HeaderWork = "Testbed-Work"
 	// HeaderBytes is the size of the answer's body in bytes.
--- a/testbed/target/ledger.go
+++ b/testbed/target/ledger.go
@@ -11,6 +11,8 @@
 	// Request and Target identify what ran where.
 	Request string `json:"request"`
 	Target  string `json:"target"`
+	// Attempt is the caller's count of the times it sent the request, from 1.
+	Attempt int `json:"attempt"`
 	// Start is when the target began.
 	Start time.Time `json:"start"`
 	// SinceLeaving is how long before Start the target announced that it is
--- a/testbed/target/work.go
+++ b/testbed/target/work.go
@@ -84,8 +84,10 @@
 }
 
 func (t *Target) begin(r *http.Request) *Run {
+	attempt, _ := strconv.Atoi(r.Header.Get(answer.HeaderAttempt))
 	run := Run{
 		Request: r.Header.Get(answer.HeaderRequest),
+		Attempt: attempt,
 		Target:  t.cfg.Name,
 		Start:   time.Now(),
 	}
