--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+
+	"filbertmill.example/pool"
+)
+
+// readiness is the body of the readiness and liveness answers.
+type readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// adminRoutes adds what operators and the balancer may ask.
+func (n *Node) adminRoutes(e *server.Hertz) {
+	n.stats.publish()
+	e.GET("/livez", func(_ context.Context, ctx *app.RequestContext) {
+		ctx.JSON(http.StatusOK, readiness{Ready: n.ready.Load()})
+	})
+	e.GET("/readyz", n.handleReady)
+	e.GET("/pools", n.handlePools)
+	e.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
+}
+
+// handleReady tells the balancer whether to send requests here.
+func (n *Node) handleReady(_ context.Context, ctx *app.RequestContext) {
+	switch {
+	case n.draining.Load():
+		ctx.JSON(http.StatusServiceUnavailable, readiness{Reason: "draining"})
+	case !n.ready.Load():
+		ctx.JSON(http.StatusServiceUnavailable, readiness{Reason: "starting"})
+	default:
+		ctx.JSON(http.StatusOK, readiness{Ready: true})
+	}
+}
+
+// handlePools reports the services that this node is or was home of.
+func (n *Node) handlePools(_ context.Context, ctx *app.RequestContext) {
+	reply := make(chan []pool.Snapshot, 1)
+	if !n.control.send(snapshotCommand{reply: reply}) {
+		ctx.JSON(http.StatusServiceUnavailable, readiness{Reason: "stopped"})
+		return
+	}
+	select {
+	case list := <-reply:
+		ctx.JSON(http.StatusOK, list)
+	case <-n.control.done:
+		ctx.JSON(http.StatusServiceUnavailable, readiness{Reason: "stopped"})
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"filbertmill.example/config/dynamic"
+	"filbertmill.example/config/static"
+	"filbertmill.example/event"
+	"filbertmill.example/exchange"
+)
+
+// Node is one process of the fleet.
+type Node struct {
+	settings *static.Settings
+	log      hclog.Logger
+	client   *exchange.Client
+	control  *controlLoop
+	routes   atomic.Pointer[routeTable]
+	members  *memberList
+	stats    *stats
+	lastID   atomic.Uint64
+	inFlight atomic.Int64
+	draining atomic.Bool
+	ready    atomic.Bool
+
+	callers *listener
+	peers   *listener
+	admin   *listener
+}
+
+// New returns a node that is not yet running. It fails if an address cannot
+// be listened on.
+func New(settings *static.Settings, cfg *dynamic.Config, log hclog.Logger) (*Node, error) {
+	n := &Node{
+		settings: settings,
+		log:      log,
+		client:   exchange.NewClient(exchange.Options{Name: settings.Name}),
+		stats:    newStats(),
+	}
+	n.members = newMemberList(settings)
+	n.control = newControlLoop(n, seedOf(settings.Name))
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	n.applyConfig(cfg)
+	return n, nil
+}
+
+// listen opens the node's listeners.
+func (n *Node) listen() error {
+	var err error
+	if n.callers, err = listen("callers", n.settings.CallerAddress, streaming); err != nil {
+		return err
+	}
+	n.callers.engine.NoRoute(n.handleCaller)
+	if n.peers, err = listen("peers", n.settings.PeerAddress, streaming); err != nil {
+		return err
+	}
+	n.peers.engine.NoRoute(n.handlePeer)
+	if n.admin, err = listen("admin", n.settings.AdminAddress, buffered); err != nil {
+		return err
+	}
+	n.adminRoutes(n.admin.engine)
+	return nil
+}
+
+// CallerAddress returns the address on which callers are served.
+func (n *Node) CallerAddress() net.Addr { return n.callers.addr }
+
+// AdminAddress returns the address on which operators are served.
+func (n *Node) AdminAddress() net.Addr { return n.admin.addr }
+
+// applyConfig brings a whole configuration into force.
+func (n *Node) applyConfig(cfg *dynamic.Config) {
+	n.routes.Store(newRouteTable(cfg))
+	n.control.send(configCommand{config: cfg})
+	n.Emit(event.Event{
+		Time: time.Now(), Kind: event.KindConfiguration, Rule: "applied",
+		Evidence: event.Evidence{Revision: int64(cfg.Revision)},
+	})
+}
+
+// Run serves until the context ends, then drains. It returns once nothing is
+// in flight any more or the drain timeout has passed.
+func (n *Node) Run(ctx context.Context) error {
+	controlCtx, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	go n.control.run(controlCtx)
+	failed := make(chan error, 3)
+	var serving sync.WaitGroup
+	for _, l := range []*listener{n.callers, n.peers, n.admin} {
+		serving.Go(func() { failed <- l.engine.Run() })
+	}
+	n.ready.Store(true)
+	n.log.Info("serving", "callers", n.callers.addr.String(), "peers", n.peers.addr.String(), "admin", n.admin.addr.String())
+	var err error
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case err = <-failed:
+		err = errors.Wrap(err, "a listener ended")
+	}
+	n.closeListeners()
+	n.client.CloseIdle()
+	return err
+}
+
+// Emit implements event.Sink: it counts the event and logs it.
+func (n *Node) Emit(e event.Event) {
+	e.Node = n.settings.Name
+	n.stats.countEvent(e.Kind)
+	level := hclog.Info
+	if e.Kind == event.KindRefusal || e.Kind == event.KindRetry || e.Kind == event.KindShed {
+		level = hclog.Debug
+	}
+	n.log.Log(level, string(e.Kind), "service", e.Service, "target", e.Target, "request", e.Request,
+		"rule", e.Rule, "from", e.From, "to", e.To, "evidence", e.Evidence)
+}
+
+// closeListeners ends the listeners that were opened.
+func (n *Node) closeListeners() {
+	for _, l := range []*listener{n.callers, n.peers, n.admin} {
+		if l != nil {
+			l.close()
+		}
+	}
+}
--- /dev/null
+++ b/node/stats.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"expvar"
+	"sync"
+
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+)
+
+// stats counts what a node did. Counters of nodes in one process are kept
+// apart by the node's own maps.
+type stats struct {
+	answers *expvar.Map
+	peers   *expvar.Map
+	events  *expvar.Map
+}
+
+// newStats returns counters at zero.
+func newStats() *stats {
+	return &stats{
+		answers: new(expvar.Map).Init(),
+		peers:   new(expvar.Map).Init(),
+		events:  new(expvar.Map).Init(),
+	}
+}
+
+var publishOnce sync.Once
+
+// publish makes the counters readable by expvar; the first node of a process does.
+func (s *stats) publish() {
+	publishOnce.Do(func() {
+		expvar.Publish("answers_by_reason", s.answers)
+		expvar.Publish("peer_answers_by_reason", s.peers)
+		expvar.Publish("events_by_kind", s.events)
+	})
+}
+
+// countAnswer counts one answer by its reason.
+func (s *stats) countAnswer(o outcome.Outcome, to side) {
+	if to == peerSide {
+		s.peers.Add(string(o.Reason), 1)
+		return
+	}
+	s.answers.Add(string(o.Reason), 1)
+}
+
+// countEvent counts one decision by its kind.
+func (s *stats) countEvent(k event.Kind) { s.events.Add(string(k), 1) }
