pool: order at the crest, short queue for hasty callers, bounded long work

Cause: callers in a hurry were starved by the queue of patient ones; long work held the slots that short work needed. Change: the queue stays short enough for the hastiest tenth of requests; EDF is the default order; long routes are learned, corrected while they run, packed, and hold only as many slots as leave the p99 wait of short work under twice what it is without them (Erlang C on the measured load); what can no longer start in time is told so at once.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -20,17 +20,20 @@
 // admit says whether a is worth a place in the queue.
 func (h *home) admit(now time.Time, a *attempt) (Refusal, bool) {
 	h.callers.saw(now, a.Caller)
+	if a.class == classShort {
+		h.haste.saw(a.spare(now))
+	}
 	switch {
 	case !a.Deadline.After(now):
 		return Refusal{Reason: outcome.ReasonTooLate}, false
 	case h.usableSlots() == 0 && !h.anyDoseDue(now):
 		return Refusal{Reason: outcome.ReasonNoTarget, RetryAfter: retryAfterMax}, false
 	case h.queue.len() >= h.cfg.QueueLimit:
-		return Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: h.retryAfter()}, false
+		return Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: h.retryAfter(now, a)}, false
 	case h.callerHoldsShare(now, a):
-		return Refusal{Reason: outcome.ReasonCallerShare, RetryAfter: h.retryAfter()}, false
-	case h.expectedWait(h.queue.work()) > h.allowedWait(now, a):
-		return Refusal{Reason: outcome.ReasonTooLate, RetryAfter: h.retryAfter()}, false
+		return Refusal{Reason: outcome.ReasonCallerShare, RetryAfter: h.retryAfter(now, a)}, false
+	case h.expectedWait(now, a.class) > h.allowedWait(now, a):
+		return Refusal{Reason: outcome.ReasonTooLate, RetryAfter: h.retryAfter(now, a)}, false
 	}
 	return Refusal{}, true
 }
@@ -51,14 +54,24 @@
 	return slices.ContainsFunc(h.order, func(t *target) bool { return t.doseDue(now) })
 }
 
-// expectedWait returns how long the given work ahead keeps all slots busy.
-func (h *home) expectedWait(work time.Duration) time.Duration {
-	return work / time.Duration(max(1, h.usableSlots()))
+// expectedWait returns how long the waiting work of the class keeps the slots
+// for it busy.
+func (h *home) expectedWait(now time.Time, c class) time.Duration {
+	return h.queue.work(c) / time.Duration(h.slotsFor(now, c))
+}
+
+// spare returns the time that a has beyond its expected service time.
+func (a *attempt) spare(now time.Time) time.Duration {
+	return a.Deadline.Sub(now) - a.route.mean
 }
 
-// allowedWait returns the longest wait after which a likely ends in time.
+// allowedWait returns the longest wait after which a likely ends in time, and
+// which leaves the queue short enough for callers in more of a hurry.
 func (h *home) allowedWait(now time.Time, a *attempt) time.Duration {
-	spare := a.Deadline.Sub(now) - a.route.mean
+	spare := a.spare(now)
+	if a.class == classShort {
+		spare = h.haste.bound(spare)
+	}
 	return time.Duration(h.cfg.QueueWaitShare * float64(spare))
 }
 
@@ -68,8 +81,8 @@
 }
 
 // retryAfter returns when the queue has likely drained.
-func (h *home) retryAfter() time.Duration {
-	return min(max(h.expectedWait(h.queue.work()), retryAfterMin), retryAfterMax)
+func (h *home) retryAfter(now time.Time, a *attempt) time.Duration {
+	return min(max(h.expectedWait(now, a.class), retryAfterMin), retryAfterMax)
 }
 
 // refuse ends an attempt that never started and records why.
@@ -82,7 +95,7 @@
 		Rule:    string(r.Reason),
 		Evidence: event.Evidence{
 			Queued: h.queue.len(),
-			Wait:   h.expectedWait(h.queue.work()),
+			Wait:   h.expectedWait(now, a.class),
 		},
 	})
 	h.delegate.Refuse(a.ID, r)
--- a/pool/config.go
+++ b/pool/config.go
@@ -33,7 +33,7 @@
 	// LongShare is the share of slots, from 0 to 1, that long work may hold.
 	LongShare float64
 
-	// Order is the order in which waiting attempts start. Default: fifo.
+	// Order is the order in which waiting attempts start. Default: edf.
 	Order Order
 	// QueueWaitShare is the share of an attempt's spare time, from 0 to 1,
 	// that it may be expected to spend in the queue. A lower share refuses
@@ -42,8 +42,12 @@
 	// LongFactor is how many times longer than the typical request a route's
 	// requests must be to count as long. Default: 8.
 	LongFactor float64
-	// LongWait is the wait after which a long attempt takes the next free
-	// slot of LongShare whatever short work costs it. Default: 10s.
+	// LongDelay is the 99th percentile of the wait of short work that long work
+	// may cause in any case. A longer one runs more long work. Default: 0, by
+	// which long work may not even double the wait.
+	LongDelay time.Duration
+	// LongWait is the wait after which a long attempt takes a free slot, if no
+	// long work ran for as long, whatever it costs short work. Default: 10s.
 	LongWait time.Duration
 	// SuspicionScore is the log likelihood ratio at which a target that takes
 	// few requests gets only what other targets cannot take; it rises with the
@@ -90,7 +94,7 @@
 		QueueLimit:         256,
 		CallerShare:        0.5,
 		LongShare:          0.25,
-		Order:              OrderFIFO,
+		Order:              OrderEDF,
 		QueueWaitShare:     0.5,
 		LongFactor:         8,
 		LongWait:           10 * time.Second,
--- /dev/null
+++ b/pool/crest_test.go
@@ -0,0 +1,107 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/pool"
+	"filbertmill.example/pool/internal/drive"
+)
+
+const (
+	surgeAt   = 15 * time.Second
+	surgeRamp = 2 * time.Second
+	surgeEnd  = 40 * time.Second
+)
+
+// surge triples the load of three kinds of lookup within surgeRamp; the slots
+// could run 267 of them a second.
+func surge(seed uint64, base float64) drive.Trace {
+	patient := func(rate float64, from, to time.Duration) drive.Load {
+		return drive.Load{Route: "patient", Rate: rate, From: from, To: to, Work: 60 * msecond, Timeout: 5 * time.Second, Callers: 20}
+	}
+	hasty := func(rate float64, from, to time.Duration) drive.Load {
+		return drive.Load{Route: "hasty", Rate: rate, From: from, To: to, Work: 60 * msecond, Timeout: 500 * msecond, Callers: 20}
+	}
+	third := base / 3
+	half := surgeAt + surgeRamp/2
+	loads := []drive.Load{
+		hasty(third, 0, surgeEnd), lookup(third, 0, surgeEnd), patient(third, 0, surgeEnd),
+		hasty(third, surgeAt, half), lookup(third, surgeAt, half), patient(third, surgeAt, half),
+		hasty(2*third, half, surgeEnd), lookup(2*third, half, surgeEnd), patient(2*third, half, surgeEnd),
+	}
+	tr := service("surge")
+	tr.Conditions = []drive.Condition{noise()}
+	tr.Arrivals = drive.Generate(seed, loads...)
+	return tr
+}
+
+// crest is what a surge showed over all seeds.
+type crest struct {
+	useful, inTime float64
+	// held is the longest time for which a refused request was held, and
+	// heldShare the share of refused requests held longer than heldLimit.
+	held      time.Duration
+	heldShare float64
+	falses    int
+	// byRoute counts answers in time by route.
+	byRoute map[string]int
+}
+
+// heldLimit is the time in which a refusal counts as given at once.
+const heldLimit = 50 * msecond
+
+func measureCrest(base float64, order pool.Order, variant func(uint64) drive.Options) crest {
+	opts := func(seed uint64) drive.Options {
+		o := variant(seed)
+		o.Config.Order = order
+		o.From, o.To = surgeAt+surgeRamp, surgeEnd
+		return o
+	}
+	build := func(seed uint64) drive.Trace { return surge(seed, base) }
+	c := crest{byRoute: make(map[string]int)}
+	var inTime, offered, refused, late int
+	for _, rep := range overSeeds(build, opts) {
+		c.useful += rep.UsefulShare / seeds
+		inTime += rep.InTime
+		offered += rep.Offered
+		refused += len(rep.Holds)
+		c.falses += rep.FalseEjections()
+		for route, n := range rep.InTimeByRoute {
+			c.byRoute[route] += n
+		}
+		for _, h := range rep.Holds {
+			c.held = max(c.held, h)
+			if h > heldLimit {
+				late++
+			}
+		}
+	}
+	c.inTime = float64(inTime) / float64(offered)
+	c.heldShare = float64(late) / float64(max(1, refused))
+	return c
+}
+
+func TestMeasureCrest(t *testing.T) {
+	for _, base := range []float64{120, 250} {
+		for _, v := range variants {
+			orders := []pool.Order{pool.OrderFIFO, pool.OrderEDF, pool.OrderLIFO}
+			if v.name == "direct" {
+				orders = orders[:1]
+			}
+			for _, order := range orders {
+				m := measureCrest(base, order, v.opts)
+				t.Logf("surge %3.0f/s to %3.0f/s %-6s %-4s capacity to answers in time %.3f; requests answered in time %.3f (%v); refusals held over %v %.4f, longest %v; false ejections %d",
+					base, 3*base, v.name, order, m.useful, m.inTime, m.byRoute, heldLimit, m.heldShare, m.held.Round(msecond), m.falses)
+				if v.name == "home" && order == pool.DefaultConfig().Order {
+					c := qt.New(t)
+					c.Check(m.useful >= 0.95, qt.IsTrue)
+					c.Check(m.held <= heldLimit, qt.IsTrue)
+					c.Check(m.falses, qt.Equals, 0)
+				}
+			}
+		}
+	}
+}
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -11,6 +11,10 @@
 // Submit implements Scheduler.
 func (h *home) Submit(now time.Time, r Request) {
 	a := &attempt{Request: r, submitted: now, route: h.routeOf(r.Route)}
+	a.class = h.classOf(a.route)
+	if a.class == classShort {
+		h.work.offer(now, a.route.mean)
+	}
 	if refusal, ok := h.admit(now, a); !ok {
 		h.refuse(now, a, refusal)
 		return
@@ -53,8 +57,8 @@
 func (h *home) pick(now time.Time) (*attempt, *target) {
 	blocked := make(map[needs]bool)
 	for _, a := range h.queue.inOrder(h.cfg.Order, now) {
-		need := needs{idempotent: a.Idempotent, exclude: strings.Join(a.Exclude, ",")}
-		if blocked[need] || !h.mayStart(a) {
+		need := needs{class: a.class, idempotent: a.Idempotent, exclude: strings.Join(a.Exclude, ",")}
+		if blocked[need] || !h.mayStart(a) || !h.mayTakeSlot(now, a) {
 			continue
 		}
 		if t := h.choose(now, a); t != nil {
@@ -68,6 +72,7 @@
 // needs is what the choice of a target depends on; if one attempt finds none,
 // neither does another with the same needs.
 type needs struct {
+	class      class
 	idempotent bool
 	exclude    string
 }
@@ -79,6 +84,9 @@
 		return t
 	}
 	normal := func(t *target) bool { return t.state == StateServing || t.state == StateCold }
+	if a.class == classLong {
+		return h.mostPacked(now, a, normal)
+	}
 	if t := h.mostFree(now, a, normal); t != nil {
 		return t
 	}
@@ -90,7 +98,7 @@
 // chooseDoubtful returns a target that needs a dose of real work, if a is fit
 // for one: it may be repeated and is not itself a repetition.
 func (h *home) chooseDoubtful(now time.Time, a *attempt) *target {
-	if h.doseCredit < 1 || !a.Idempotent || len(a.Exclude) > 0 {
+	if h.doseCredit < 1 || a.class == classLong || !a.Idempotent || len(a.Exclude) > 0 {
 		return nil
 	}
 	for _, t := range h.order {
@@ -136,6 +144,7 @@
 	t.running[a.ID] = a
 	h.running[a.ID] = a
 	h.callers.began(a.Caller)
+	h.work.hold(a.class, 1)
 	h.delegate.Start(a.ID, t.Name)
 }
 
@@ -144,7 +153,7 @@
 	for _, a := range slices.Clone(h.queue.waiting) {
 		if h.hopeless(now, a) {
 			h.queue.remove(a.ID)
-			h.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: h.retryAfter()})
+			h.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: h.retryAfter(now, a)})
 		}
 	}
 }
--- a/pool/home.go
+++ b/pool/home.go
@@ -23,6 +23,8 @@
 	running    map[RequestID]*attempt
 	queue      queue
 	callers    callers
+	haste      haste
+	work       work
 	routes     map[string]*route
 	otherRoute *route
 	// adopted says that a first list of targets was taken.
@@ -110,6 +112,10 @@
 	delete(h.running, id)
 	delete(t.running, id)
 	h.callers.ended(a.Caller)
+	h.work.hold(a.class, -1)
+	if a.class == classLong {
+		h.work.longEnded = now
+	}
 	t.discharge(a)
 	h.countSlots(now, t, res.Verdict)
 	h.learn(now, a, res)
@@ -154,6 +160,7 @@
 	}
 	if res.Verdict == VerdictAnswered && t.state == StateServing {
 		a.route.learn(res.Latency)
+		h.work.learn(res.Latency)
 	}
 	h.take(now, t, s)
 	if t.state == StateCold {
@@ -185,6 +192,8 @@
 func (h *home) Tick(now time.Time) {
 	h.ticked = now
 	h.examineRunning(now)
+	h.correctRunning(now)
+	h.correctWaiting(now)
 	h.reconsider(now)
 	h.judge(now)
 	for _, t := range slices.Clone(h.order) {
--- a/pool/internal/drive/report.go
+++ b/pool/internal/drive/report.go
@@ -41,11 +41,15 @@
 	InTimeByCaller map[string]int
 	// InTimeByRoute counts answers in time by route.
 	InTimeByRoute map[string]int
-	// Holds holds how long each refused request was held before it was told.
+	// Holds holds how long each request that was never started was held before
+	// it was told.
 	Holds []time.Duration
 	// Useful is the slot time that went to answers given in time; Wasted is
 	// the slot time of other exchanges.
 	Useful, Wasted time.Duration
+	// UsefulShare is the share of the slots' capacity within the window of the
+	// options that went to answers given in time.
+	UsefulShare float64
 	// Probes counts probes, Sheds the attempts that targets refused.
 	Probes, Sheds int
 	Ejections     []Ejection
@@ -57,6 +61,14 @@
 	// sends holds when each target was given work.
 	sends map[string][]time.Duration
 	nodes []*node
+	// inWindow is the useful slot time within the window.
+	inWindow time.Duration
+}
+
+// overlap returns how long the attempt worked within the window.
+func (a *attempt) overlap(now time.Duration) time.Duration {
+	opts := a.node.run.opts
+	return max(0, min(now, opts.To)-max(a.began, opts.From))
 }
 
 func newReport(tr Trace) *Report {
@@ -84,7 +96,9 @@
 func (p *Report) refused(req *request, reason outcome.Reason, now time.Duration) {
 	p.Refused++
 	p.Reasons[reason]++
-	p.Holds = append(p.Holds, now-req.arrived)
+	if !req.started {
+		p.Holds = append(p.Holds, now-req.arrived)
+	}
 }
 
 func (p *Report) failed(_ *request, reason outcome.Reason, _ time.Duration) {
@@ -110,6 +124,7 @@
 	case pool.VerdictUnreachable:
 	case pool.VerdictAnswered:
 		p.Useful += a.service
+		p.inWindow += a.overlap(now)
 	default:
 		p.Wasted += now - a.began
 	}
@@ -143,6 +158,10 @@
 
 func (p *Report) finish(r *run) {
 	p.nodes = r.nodes
+	if window := r.opts.To - r.opts.From; window > 0 {
+		capacity := window * time.Duration(p.trace.Targets*p.trace.Slots)
+		p.UsefulShare = float64(p.inWindow) / float64(capacity)
+	}
 	for _, e := range p.Ejections {
 		if r.opts.Nodes == 1 && e.Healthy < p.trace.FloorSlots {
 			p.FloorViolations++
--- a/pool/internal/drive/run.go
+++ b/pool/internal/drive/run.go
@@ -39,6 +39,8 @@
 	// Config holds the settings but for Service and FloorSlots.
 	Config pool.Config
 	Seed   uint64
+	// From and To bound the window in which Report.UsefulShare counts.
+	From, To time.Duration
 	// Absolve has poison requests absolve the targets they crash, after a delay.
 	Absolve bool
 	// Check, if set, is called after each call to a scheduler.
--- /dev/null
+++ b/pool/long.go
@@ -0,0 +1,324 @@
+package pool
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+)
+
+const (
+	// typicalWindow is the number of answers by which the typical service time
+	// is known.
+	typicalWindow = 256
+	// typicalRefresh is the number of answers between two looks at them.
+	typicalRefresh = 8
+	// longKnown is the number of answers after which only a route's own mean
+	// says whether it is long.
+	longKnown = 3
+	// loadHalfLife is the time in which the memory of the short load fades by half.
+	loadHalfLife = 2 * time.Second
+	// waitQuantile is the share of short attempts whose wait is guarded.
+	waitQuantile = 0.99
+	// waitRatio is how many times longer long work may make that wait.
+	waitRatio = 1.8
+)
+
+// class is the kind of work that an attempt counts as.
+type class uint8
+
+const (
+	// classShort takes any slot.
+	classShort class = iota
+	// classUnproven is work of a route that has no answer yet, while others have;
+	// it starts like short work, but on no more slots than long work may hold.
+	classUnproven
+	// classLong takes much longer than the typical request.
+	classLong
+	numClasses
+)
+
+// work tells long work from short, and bounds the slots of the former.
+type work struct {
+	latencies []time.Duration
+	next      int
+	count     int
+	// typical is the median service time of the service's requests.
+	typical time.Duration
+	// offered is the fading sum of the expected service times of short
+	// attempts, as of offeredAt; began is when the first one came.
+	offered   time.Duration
+	offeredAt time.Time
+	began     time.Time
+	// mean is the moving mean of those times.
+	mean time.Duration
+	// allowed is the number of slots that long work may hold, as of allowedAt.
+	allowed   int
+	allowedAt time.Time
+	// longEnded is when long work last gave a slot back.
+	longEnded time.Time
+	// running is the number of slots that each class holds.
+	running [numClasses]int
+}
+
+// hold adds n to the slots that the class holds.
+func (w *work) hold(c class, n int) { w.running[c] += n }
+
+// learn takes the latency of one whole answer.
+func (w *work) learn(latency time.Duration) {
+	if len(w.latencies) < typicalWindow {
+		w.latencies = append(w.latencies, latency)
+	} else {
+		w.latencies[w.next] = latency
+		w.next = (w.next + 1) % typicalWindow
+	}
+	w.count++
+	if w.count%typicalRefresh == 0 {
+		sorted := slices.Clone(w.latencies)
+		slices.Sort(sorted)
+		w.typical = sorted[len(sorted)/2]
+	}
+}
+
+// offer notes a short attempt with the given expected service time.
+func (w *work) offer(now time.Time, mean time.Duration) {
+	if mean == 0 {
+		return
+	}
+	if w.began.IsZero() {
+		w.began = now
+	}
+	w.offered = w.offeredNow(now) + mean
+	w.offeredAt = now
+	w.mean += time.Duration(meanWeight * float64(mean-w.mean))
+}
+
+func (w *work) offeredNow(now time.Time) time.Duration {
+	age := float64(now.Sub(w.offeredAt)) / float64(loadHalfLife)
+	return time.Duration(float64(w.offered) * math.Exp2(-age))
+}
+
+// loadKnown says that the short load was seen for long enough.
+func (w *work) loadKnown(now time.Time) bool {
+	return !w.began.IsZero() && now.Sub(w.began) >= 2*loadHalfLife
+}
+
+// load returns the number of slots that the short work keeps busy.
+func (w *work) load(now time.Time) float64 {
+	seen := 1 - math.Exp2(-float64(now.Sub(w.began))/float64(loadHalfLife))
+	if w.began.IsZero() || seen <= 0 {
+		return 0
+	}
+	return float64(w.offeredNow(now)) * math.Ln2 / float64(loadHalfLife) / seen
+}
+
+// classOf returns the class of the requests of r by what is known now.
+func (h *home) classOf(r *route) class {
+	known := r.mean
+	if r.count < longKnown {
+		known = max(known, r.overrun)
+	}
+	switch {
+	case h.work.typical == 0:
+		return classShort
+	case known > h.longBound():
+		return classLong
+	case r.count == 0:
+		return classUnproven
+	default:
+		return classShort
+	}
+}
+
+// longBound returns the service time above which work counts as long.
+func (h *home) longBound() time.Duration {
+	return time.Duration(h.cfg.LongFactor * float64(h.work.typical))
+}
+
+// correctRunning counts attempts as long that turn out to be, and remembers it
+// of routes that are not yet known.
+func (h *home) correctRunning(now time.Time) {
+	if h.work.typical == 0 {
+		return
+	}
+	for _, id := range sortedIDs(h.running) {
+		a := h.running[id]
+		age := now.Sub(a.started)
+		if age <= h.longBound() {
+			continue
+		}
+		if a.route.count < longKnown {
+			h.learnOverrun(now, a, age)
+		}
+		h.reclass(a, classLong)
+	}
+}
+
+// reclass counts a running attempt as another class.
+func (h *home) reclass(a *attempt, c class) {
+	h.work.hold(a.class, -1)
+	h.work.hold(c, 1)
+	a.class = c
+}
+
+// learnOverrun remembers how long attempts of an unknown route run.
+func (h *home) learnOverrun(now time.Time, a *attempt, age time.Duration) {
+	if a.route.overrun == 0 {
+		h.noteLong(now, a, age)
+	}
+	a.route.overrun = max(a.route.overrun, age)
+}
+
+// correctWaiting counts waiting attempts as the class that is known now, and
+// gives up those that can no longer start in time.
+func (h *home) correctWaiting(now time.Time) {
+	var ahead [numClasses]time.Duration
+	for _, a := range slices.Clone(h.queue.inOrder(h.cfg.Order, now)) {
+		a.class = h.classOf(a.route)
+		wait := ahead[a.class] / time.Duration(h.slotsFor(now, a.class))
+		if wait > a.spare(now) {
+			h.queue.remove(a.ID)
+			h.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: h.retryAfter(now, a)})
+			continue
+		}
+		ahead[a.class] += a.route.mean
+	}
+}
+
+// slotsFor returns the slots that work of the class may count on, at least one.
+func (h *home) slotsFor(now time.Time, c class) int {
+	switch c {
+	case classLong:
+		return max(1, h.longSlots(now))
+	case classUnproven:
+		return max(1, h.longSlots(now))
+	default:
+		return max(1, h.usableSlots()-h.work.running[classLong])
+	}
+}
+
+// mayTakeSlot says whether the class of a's work leaves it a slot.
+func (h *home) mayTakeSlot(now time.Time, a *attempt) bool {
+	switch a.class {
+	case classLong:
+		return h.mayStartLong(now, a)
+	case classUnproven:
+		return h.work.running[classUnproven]+h.work.running[classLong] < max(1, h.longSlots(now))
+	default:
+		return true
+	}
+}
+
+// noteLong records that the requests of an unknown route are long.
+func (h *home) noteLong(now time.Time, a *attempt, age time.Duration) {
+	h.note(now, a.target, event.KindTargetState, RuleLongRunning, event.Evidence{
+		Latency: age, PeerLatency: h.work.typical, Threshold: h.cfg.LongFactor,
+		Detail: "requests of route " + a.route.name + " are taken as long",
+	})
+}
+
+// longShareSlots returns the slots that long work may hold at most.
+func (h *home) longShareSlots() int {
+	return max(1, int(h.cfg.LongShare*float64(h.usableSlots())))
+}
+
+// longSlots returns the slots that long work may hold now.
+func (h *home) longSlots(now time.Time) int {
+	if now.Sub(h.work.allowedAt) >= tickInterval {
+		h.work.allowed = h.harmlessSlots(now)
+		h.work.allowedAt = now
+	}
+	return h.work.allowed
+}
+
+// harmlessSlots returns as many slots of the share of long work as leave the
+// wait of short work near what it is without long work.
+func (h *home) harmlessSlots(now time.Time) int {
+	slots := h.usableSlots()
+	load := h.work.load(now)
+	bound := max(waitRatio*quantileWait(slots, load), h.longDelay())
+	most := h.longShareSlots()
+	if !h.work.loadKnown(now) {
+		most = 1
+	}
+	n := 0
+	for n < most && quantileWait(slots-n-1, load) <= bound {
+		n++
+	}
+	return n
+}
+
+// longDelay returns the wait that long work may cause in any case, in mean
+// service times of short work.
+func (h *home) longDelay() float64 {
+	return float64(h.cfg.LongDelay) / float64(max(1, h.work.mean))
+}
+
+// mayStartLong says whether the long attempt may take a slot: a free one of
+// those for long work, or a single one once it has waited for LongWait and no
+// long work ran for as long.
+func (h *home) mayStartLong(now time.Time, a *attempt) bool {
+	running := h.work.running[classLong]
+	if running < h.longSlots(now) {
+		return true
+	}
+	return running == 0 && now.Sub(a.submitted) >= h.cfg.LongWait && now.Sub(h.work.longEnded) >= h.cfg.LongWait
+}
+
+// quantileWait returns the waitQuantile of the wait for one of the slots, in
+// mean service times, when random arrivals keep load slots busy.
+func quantileWait(slots int, load float64) float64 {
+	free := float64(slots) - load
+	if free <= 0 {
+		return math.Inf(1)
+	}
+	return max(0, math.Log(waitProbability(slots, load)/(1-waitQuantile))/free)
+}
+
+// waitProbability returns the Erlang C formula: the probability that an
+// arrival finds all slots busy.
+func waitProbability(slots int, load float64) float64 {
+	blocked := 1.0
+	for n := 1; n <= slots; n++ {
+		blocked = load * blocked / (float64(n) + load*blocked)
+	}
+	free := 1 - load/float64(slots)
+	return blocked / (free + (1-free)*blocked)
+}
+
+// mostPacked returns the fit target that already runs the most long work, so
+// that the others stay free of it.
+func (h *home) mostPacked(now time.Time, a *attempt, fit func(*target) bool) *target {
+	var best *target
+	for _, t := range h.order {
+		if t.free(now) == 0 || !fit(t) || slices.Contains(a.Exclude, t.Name) {
+			continue
+		}
+		if best == nil || packing(t, best) > 0 {
+			best = t
+		}
+	}
+	return best
+}
+
+// packing compares targets by the long work that they run, then by how much
+// else they run.
+func packing(t, other *target) int {
+	return cmp.Or(
+		cmp.Compare(t.longRunning(), other.longRunning()),
+		cmp.Compare(other.inFlight(), t.inFlight()),
+	)
+}
+
+func (t *target) longRunning() int {
+	n := 0
+	for _, a := range t.running {
+		if a.class == classLong {
+			n++
+		}
+	}
+	return n
+}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -18,6 +18,8 @@
 	target    *target
 	// dose says that the attempt was given to a doubtful target on purpose.
 	dose bool
+	// class is the kind of work that the attempt counts as.
+	class class
 	// charged is the category already charged to the target while running.
 	charged category
 }
@@ -42,22 +44,24 @@
 	return nil
 }
 
-// work returns the expected service time of all that waits.
-func (q *queue) work() time.Duration {
+// work returns the expected service time of the class that waits.
+func (q *queue) work(c class) time.Duration {
 	var sum time.Duration
 	for _, a := range q.waiting {
-		sum += a.route.mean
+		if a.class == c {
+			sum += a.route.mean
+		}
 	}
 	return sum
 }
 
-// workOf returns the expected service time of what the caller has waiting, and
-// the number of its attempts.
-func (q *queue) workOf(caller string) (time.Duration, int) {
+// workOf returns the expected service time of what the caller has waiting of
+// the class, and the number of its attempts.
+func (q *queue) workOf(caller string, c class) (time.Duration, int) {
 	var sum time.Duration
 	n := 0
 	for _, a := range q.waiting {
-		if a.Caller == caller {
+		if a.Caller == caller && a.class == c {
 			sum += a.route.mean
 			n++
 		}
--- a/pool/route.go
+++ b/pool/route.go
@@ -31,6 +31,8 @@
 	median, high, tail time.Duration
 	// mean is the moving mean of the latency.
 	mean time.Duration
+	// overrun is the longest that an attempt has run before enough was known.
+	overrun time.Duration
 	// seen counts the categories of the work by target.
 	seen map[*target]*tally
 }
