--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -85,13 +85,17 @@
 	}
 	normal := func(t *target) bool { return t.state == StateServing || t.state == StateCold }
 	if a.class == classLong {
+		normal = func(t *target) bool {
+			return t.state == StateServing || t.state == StateCold || (t.state == StateSuspected && t.held)
+		}
 		return h.mostPacked(now, a, normal)
 	}
 	if t := h.mostFree(now, a, normal); t != nil {
 		return t
 	}
+	needed := h.healthySlots(nil) < h.cfg.FloorSlots
 	return h.mostFree(now, a, func(t *target) bool {
-		return t.state == StateSuspected && (t.held || a.Idempotent)
+		return t.state == StateSuspected && (t.held || needed || a.Idempotent)
 	})
 }
 
--- a/pool/home.go
+++ b/pool/home.go
@@ -168,27 +168,29 @@
 	}
 }
 
+const (
+	// warmScore is the log likelihood ratio of being slow at which a cold
+	// target is warm; coldScore bounds it from above.
+	warmScore = -2
+	coldScore = 3
+)
+
 // warm takes an answer of a cold target; one that answers like its peers on
 // all its slots is warm.
 func (h *home) warm(now time.Time, t *target, s sample) {
-	switch {
-	case s.category == categoryNone:
+	if s.category == categoryNone || s.category == categoryFailed {
 		return
-	case s.bad():
-		t.good = 0
-	default:
-		t.good++
 	}
-	full := t.limit.slots >= t.Slots && t.good >= warmAnswers
-	overdue := t.good > 0 && now.Sub(t.since) >= h.cfg.WarmTime
+	t.good++
+	t.slow = min(coldScore, t.slow+slowRatio(s.category, h.usualLately(now, t, s.route), 0))
+	full := t.limit.slots >= t.Slots && t.slow <= warmScore
+	overdue := now.Sub(t.since) >= h.cfg.WarmTime
 	if full || overdue {
-		h.fire(now, t, triggerWarm, RuleWarm, event.Evidence{Samples: t.good})
+		t.samples = nil
+		h.fire(now, t, triggerWarm, RuleWarm, event.Evidence{Samples: t.good, Score: t.slow, Threshold: warmScore})
 	}
 }
 
-// warmAnswers is the number of usual answers in a row that end the cold state.
-const warmAnswers = 4
-
 func (h *home) Tick(now time.Time) {
 	h.ticked = now
 	h.examineRunning(now)
--- a/pool/internal/drive/report.go
+++ b/pool/internal/drive/report.go
@@ -222,6 +222,26 @@
 	return n
 }
 
+// LastSent returns when the target was last given work since the given time,
+// in time from then.
+func (p *Report) LastSent(target string, since time.Duration) time.Duration {
+	last := time.Duration(0)
+	for _, at := range p.sends[target] {
+		last = max(last, at-since)
+	}
+	return last
+}
+
+// Begins returns when the target's first condition of its own begins.
+func (p *Report) Begins(target string) time.Duration {
+	for _, c := range p.trace.Conditions {
+		if c.Target == target {
+			return time.Duration(c.From)
+		}
+	}
+	return 0
+}
+
 // Rules returns the rules of the target's ejections, in order.
 func (p *Report) Rules(target string) string {
 	var rules []string
--- a/pool/internal/drive/trace.go
+++ b/pool/internal/drive/trace.go
@@ -94,7 +94,12 @@
 	// the time from their first condition, and the rule if it is stated.
 	Out []ExpectOut `json:"out,omitempty"`
 	// NeverOut says that no target but those in Out may be ejected.
-	NeverOut bool `json:"never_out"`
+	NeverOut bool `json:"never_out,omitempty"`
+	// Quiet names the targets that must get no new work later than the given
+	// time after their first condition.
+	Quiet []ExpectOut `json:"quiet,omitempty"`
+	// NoneOut says that no target may be ejected, whatever its condition.
+	NoneOut bool `json:"none_out,omitempty"`
 	// Back names the targets that must be serving at the end.
 	Back []string `json:"back,omitempty"`
 	// Kinds names kinds of events that must occur.
@@ -122,30 +127,49 @@
 	FloorSlots int         `json:"floor_slots"`
 	Conditions []Condition `json:"conditions"`
 	Expect     Expect      `json:"expect"`
-	Arrivals   []Arrival   `json:"arrivals"`
+	// Absolve has poison requests found out and the targets absolved.
+	Absolve bool `json:"absolve,omitempty"`
+	// Arrivals follow in the file, one a line.
+	Arrivals []Arrival `json:"-"`
 }
 
 // TargetName returns the name of the target with the given number.
 func TargetName(n int) string { return fmt.Sprintf("t%02d", n) }
 
-// Read reads a trace. Its errors name the file.
+// Read reads a trace: JSON values, first the trace and then its arrivals.
+// Errors name the file and the number of the value.
 func Read(path string) (Trace, error) {
 	var tr Trace
-	src, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return tr, err
 	}
-	if err := json.Unmarshal(src, &tr); err != nil {
-		return tr, errors.Wrapf(err, "%s", filepath.Base(path))
+	defer file.Close()
+	dec := json.NewDecoder(file)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&tr); err != nil {
+		return tr, errors.Wrapf(err, "%s: value 1", filepath.Base(path))
+	}
+	for dec.More() {
+		var a Arrival
+		if err := dec.Decode(&a); err != nil {
+			return tr, errors.Wrapf(err, "%s: value %d", filepath.Base(path), len(tr.Arrivals)+2)
+		}
+		tr.Arrivals = append(tr.Arrivals, a)
 	}
 	return tr, nil
 }
 
-// Write writes a trace.
+// Write writes a trace in the form that Read reads.
 func Write(path string, tr Trace) error {
-	out, err := json.MarshalIndent(tr, "", "")
+	file, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(path, append(out, '\n'), 0o644)
+	enc := json.NewEncoder(file)
+	err = enc.Encode(tr)
+	for _, a := range tr.Arrivals {
+		err = errors.CombineErrors(err, enc.Encode(a))
+	}
+	return errors.CombineErrors(err, file.Close())
 }
--- a/pool/judge.go
+++ b/pool/judge.go
@@ -151,9 +151,13 @@
 	}
 }
 
-// examineRunning charges attempts whose answer is overdue to their targets.
+// examineRunning charges attempts whose answer is overdue to their targets;
+// cold targets may take long.
 func (h *home) examineRunning(now time.Time) {
 	for _, t := range h.order {
+		if t.state == StateCold {
+			continue
+		}
 		for _, id := range sortedIDs(t.running) {
 			h.charge(now, t, t.running[id])
 		}
--- a/pool/return.go
+++ b/pool/return.go
@@ -25,6 +25,9 @@
 	// probationScore is the score at which a probation fails; one failure that
 	// is unusual on its route is enough.
 	probationScore = 3
+	// pardonTime is how long a target may take to come back after a request
+	// crashed it.
+	pardonTime = 30 * time.Second
 	// flapForgotten is the memory of ejections that counts as none.
 	flapForgotten = 0.5
 )
@@ -41,6 +44,11 @@
 	deferrals int
 	// linkFault says that the path and not the target was at fault.
 	linkFault bool
+	// unreachable says that the target was ejected for not being reached.
+	unreachable bool
+	// pardoned is until when a target that a request crashed may be away
+	// without that being remembered.
+	pardoned time.Time
 }
 
 // memory returns the faded number of ejections.
@@ -72,7 +80,10 @@
 	flaps := t.ejection.memory(now, h.cfg.FlapHalfLife)
 	span := float64(h.cfg.EjectionTime) * math.Exp2(math.Floor(flaps+flapForgotten))
 	t.ejection.until = now.Add(time.Duration(min(span, float64(h.cfg.EjectionTimeMax))))
-	t.ejection.remember(now, h.cfg.FlapHalfLife, 1)
+	t.ejection.unreachable = rule == RuleConnectionRefused
+	if !t.ejection.unreachable || !now.Before(t.ejection.pardoned) {
+		t.ejection.remember(now, h.cfg.FlapHalfLife, 1)
+	}
 	t.ejection.asked = time.Time{}
 	t.ejection.deferrals = 0
 	t.ejection.linkFault = false
@@ -119,10 +130,11 @@
 	h.fire(now, t, triggerTry, RuleEjectionOver, event.Evidence{Samples: t.probation.needed})
 }
 
-// doseDue says whether t may be given a single request to prove itself.
+// doseDue says whether t may be given a single request to prove itself or to
+// become warm.
 func (t *target) doseDue(now time.Time) bool {
-	doubtful := t.state == StateProbation || (t.state == StateSuspected && !t.held)
-	return doubtful && t.inFlight() == 0 &&
+	needy := t.state == StateProbation || t.state == StateCold || (t.state == StateSuspected && !t.held)
+	return needy && t.inFlight() == 0 &&
 		!now.Before(t.limit.pausedUntil) &&
 		now.Sub(t.probation.dosed) >= doseInterval
 }
@@ -137,9 +149,9 @@
 	p.slow += slowRatio(s.category, usual, 0)
 	p.failing += failingRatio(s.category, usual, failedShareMin)
 	if max(p.slow, p.failing) >= probationScore {
-		h.eject(now, t, RuleProbationFailed, event.Evidence{
-			Samples: p.good + 1, Failures: 1, Latency: s.latency,
-			PeerLatency: s.route.median, Score: max(p.slow, p.failing), Threshold: probationScore,
+		h.failProbation(now, t, finding{
+			rule: RuleProbationFailed, samples: p.good + 1, failures: 1,
+			latency: s.latency, peer: s.route.median, score: max(p.slow, p.failing),
 		})
 		return
 	}
@@ -152,6 +164,17 @@
 	}
 }
 
+// failProbation ejects t again; below the floor its probation starts over
+// instead.
+func (h *home) failProbation(now time.Time, t *target, f finding) {
+	if h.floorAllows(t) {
+		h.eject(now, t, f.rule, evidenceOf(f, probationScore))
+		return
+	}
+	t.probation = probation{needed: t.probation.needed, dosed: t.probation.dosed}
+	h.holdFloor(now, t, f, probationScore)
+}
+
 // restore brings t back into service, one slot first.
 func (h *home) restore(now time.Time, t *target, rule string) {
 	t.samples = nil
@@ -184,7 +207,7 @@
 		return
 	}
 	if !reachable {
-		h.eject(now, t, RuleProbationFailed, event.Evidence{Samples: p.good + 1, Failures: 1})
+		h.failProbation(now, t, finding{rule: RuleProbationFailed, samples: p.good + 1, failures: 1})
 		return
 	}
 	p.good++
@@ -217,8 +240,10 @@
 }
 
 // acquit undoes the decision that the dropped failures brought about, unless
-// enough else speaks against t.
+// enough else speaks against t. A target that cannot be reached still has to
+// pass its probation.
 func (h *home) acquit(now time.Time, t *target, since time.Time, dropped int) {
+	t.ejection.pardoned = now.Add(pardonTime)
 	out := t.state == StateSuspected || t.state == StateEjected
 	if !out || t.since.Before(since) || h.examine(now, t).score >= h.cfg.SuspicionScore {
 		return
@@ -226,6 +251,10 @@
 	if t.state == StateEjected {
 		t.ejection.remember(now, h.cfg.FlapHalfLife, -1)
 	}
+	if t.state == StateEjected && t.ejection.unreachable {
+		t.ejection.until = now
+		return
+	}
 	t.held = false
 	h.fire(now, t, triggerAbsolve, RuleAbsolved, event.Evidence{Samples: dropped, Failures: dropped})
 }
--- a/pool/target.go
+++ b/pool/target.go
@@ -33,8 +33,10 @@
 	reach     reach
 	ejection  ejection
 	probation probation
-	// good is the number of good answers in a row while cold.
+	// good is the number of whole answers while cold, slow the log likelihood
+	// ratio of them being slow.
 	good int
+	slow float64
 	// ownSignal is when the target last announced that it is leaving.
 	ownSignal time.Time
 }
@@ -81,6 +83,7 @@
 	t.limit.slots = min(1, t.Slots)
 	t.limit.raiseAt = now.Add(time.Second)
 	t.good = 0
+	t.slow = 0
 }
 
 // addSample keeps s, dropping the oldest sample when there are too many.
