once: at most one dispatch of an idempotency key

Cause: a booking sent again through another node, or to a home that was paused, replaced or cut off, may not run twice, and may not be called not run if it was. Change: Home and Witness as plain state machines. The store's record names holder, epoch and witnesses; each claim is recorded by all witnesses before its dispatch; a new home seals a witness and takes over its copy.

--- /dev/null
+++ b/once/fake_test.go
@@ -0,0 +1,327 @@
+package once_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"filbertmill.example/once"
+	"filbertmill.example/outcome"
+)
+
+var start = time.Date(2026, 7, 1, 6, 0, 0, 0, time.UTC)
+
+// action is something under way that is delivered or lost when the test says.
+type action struct {
+	from, to string
+	deliver  func()
+	lose     func()
+}
+
+// world is a fleet with one service, a store and a network that does nothing
+// by itself.
+type world struct {
+	cfg     once.Config
+	now     time.Time
+	nodes   map[string]*fakeNode
+	actions []action
+	record  once.Tenure
+	version once.Revision
+	started uint64
+	lastID  once.RequestID
+	sent    map[once.RequestID]sending
+	// dispatched is when a request was last dispatched, by what it asks for,
+	// but for those that ended as certainly not run.
+	dispatched map[ask]time.Time
+	faults     []string
+}
+
+// ask is what a request asks for.
+type ask struct {
+	key    once.Key
+	digest once.Digest
+}
+
+// sending is a request that was submitted.
+type sending struct {
+	ask
+	request once.Request
+	at      time.Time
+	// ran is when the key had been dispatched, if it had when this was sent.
+	ran    time.Time
+	node   string
+	answer *once.Result
+}
+
+// fakeNode is one node; it is its home's Delegate.
+type fakeNode struct {
+	w       *world
+	name    string
+	member  once.Member
+	home    *once.Home
+	witness *once.Witness
+	running []once.RequestID
+	leaving bool
+}
+
+func newWorld(cfg once.Config, names ...string) *world {
+	w := &world{
+		cfg:        cfg,
+		now:        start,
+		nodes:      make(map[string]*fakeNode),
+		sent:       make(map[once.RequestID]sending),
+		dispatched: make(map[ask]time.Time),
+	}
+	for _, name := range names {
+		w.nodes[name] = &fakeNode{w: w, name: name}
+	}
+	for _, name := range names {
+		w.restart(name)
+	}
+	return w
+}
+
+// restart has a node lose its memory.
+func (w *world) restart(name string) {
+	n := w.nodes[name]
+	w.started++
+	n.member = once.Member{Name: name, Incarnation: w.started}
+	n.home = once.NewHome(w.cfg, n.member, n)
+	n.witness = once.NewWitness(w.cfg, n.member)
+	n.running = nil
+	n.leaving = false
+	var others []string
+	for other := range w.nodes {
+		if other != name {
+			others = append(others, other)
+		}
+	}
+	slices.Sort(others)
+	n.home.SetCandidates(others)
+}
+
+// submit sends a request through a node.
+func (w *world) submit(name string, key once.Key, body byte) once.RequestID {
+	w.lastID++
+	a := ask{key: key, digest: once.Digest{body}}
+	r := once.Request{ID: w.lastID, Key: key, Digest: a.digest}
+	w.sent[r.ID] = sending{ask: a, request: r, at: w.now, ran: w.dispatched[a], node: name}
+	w.nodes[name].home.Submit(w.now, r)
+	return r.ID
+}
+
+// finish ends a running request.
+func (w *world) finish(id once.RequestID, r once.Result) {
+	s := w.sent[id]
+	n := w.nodes[s.node]
+	n.running = slices.DeleteFunc(n.running, func(other once.RequestID) bool { return other == id })
+	if r.Outcome.Kind == outcome.NotRun {
+		delete(w.dispatched, s.ask)
+	}
+	s.answer = &r
+	w.sent[id] = s
+	n.home.Finish(w.now, id, r)
+}
+
+// settle delivers everything until nothing is under way.
+func (w *world) settle() {
+	for len(w.actions) > 0 {
+		w.deliver(0)
+	}
+}
+
+func (w *world) deliver(i int) {
+	a := w.actions[i]
+	w.actions = slices.Delete(w.actions, i, i+1)
+	a.deliver()
+}
+
+func (w *world) lose(i int) {
+	a := w.actions[i]
+	w.actions = slices.Delete(w.actions, i, i+1)
+	a.lose()
+}
+
+// advance lets time pass, in steps in which everything is delivered.
+func (w *world) advance(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		w.tick()
+		w.settle()
+	}
+}
+
+func (w *world) tick() {
+	for _, name := range w.names() {
+		w.nodes[name].home.Tick(w.now)
+	}
+}
+
+func (w *world) names() []string {
+	var names []string
+	for name := range w.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// within reports whether t lies within the retention.
+func (w *world) within(t time.Time) bool {
+	return !t.IsZero() && w.now.Sub(t) < w.cfg.Retention
+}
+
+// Dispatch implements once.Delegate.
+func (n *fakeNode) Dispatch(id once.RequestID) {
+	s := n.w.sent[id]
+	for other, at := range n.w.dispatched {
+		if other.key == s.key && n.w.within(at) {
+			n.w.fault("key %s dispatched twice, the second time by %s", s.key, n.name)
+		}
+	}
+	n.w.dispatched[s.ask] = n.w.now
+	n.running = append(n.running, id)
+}
+
+// Reply implements once.Delegate.
+func (n *fakeNode) Reply(id once.RequestID, r once.Result) {
+	s := n.w.sent[id]
+	if s.answer != nil {
+		n.w.fault("request %d answered twice", id)
+	}
+	s.answer = &r
+	n.w.sent[id] = s
+	ranBefore := !s.ran.IsZero() && n.w.dispatched[s.ask].Equal(s.ran) && s.at.Sub(s.ran) < n.w.cfg.Retention
+	if r.Outcome.Kind == outcome.NotRun && ranBefore {
+		n.w.fault("request %d: %s said of key %s, which was dispatched", id, r.Outcome.Reason, s.key)
+	}
+	if r.Outcome.Kind == outcome.Run && (r.Answer == nil || r.Answer.Body[0] != s.digest[0]) {
+		n.w.fault("request %d got an answer that is not its own", id)
+	}
+}
+
+// Send implements once.Delegate.
+func (n *fakeNode) Send(op once.OpID, to once.Member, m once.Message) {
+	home := n.home
+	reply := func(a once.Ack, answered bool) {
+		if n.home == home && op != 0 {
+			home.Received(n.w.now, op, a, answered)
+		}
+	}
+	n.w.actions = append(n.w.actions, action{
+		from: n.name, to: to.Name,
+		deliver: func() {
+			other := n.w.nodes[to.Name]
+			a := other.witness.Receive(n.w.now, to, m)
+			n.w.actions = append(n.w.actions, action{
+				from: to.Name, to: n.name,
+				deliver: func() { reply(a, true) },
+				lose:    func() { reply(once.Ack{}, false) },
+			})
+		},
+		lose: func() { reply(once.Ack{}, false) },
+	})
+}
+
+// Read implements once.Delegate.
+func (n *fakeNode) Read(op once.OpID) {
+	home := n.home
+	answer := func(t once.Tenure, v once.Revision, ok bool) {
+		if n.home == home {
+			home.HaveRead(n.w.now, op, t, v, ok)
+		}
+	}
+	n.w.actions = append(n.w.actions, action{
+		from: n.name, to: "store",
+		deliver: func() {
+			t, v := n.w.record, n.w.version
+			n.w.actions = append(n.w.actions, action{
+				from: "store", to: n.name,
+				deliver: func() { answer(t, v, true) },
+				lose:    func() { answer(once.Tenure{}, 0, false) },
+			})
+		},
+		lose: func() { answer(once.Tenure{}, 0, false) },
+	})
+}
+
+// Write implements once.Delegate.
+func (n *fakeNode) Write(op once.OpID, t once.Tenure, after once.Revision) {
+	home := n.home
+	answer := func(v once.Revision, ok bool) {
+		if n.home == home {
+			home.HaveWritten(n.w.now, op, v, ok)
+		}
+	}
+	n.w.actions = append(n.w.actions, action{
+		from: n.name, to: "store",
+		deliver: func() {
+			ok := n.w.version == after
+			if ok {
+				n.w.version++
+				n.w.record = t
+			}
+			v := n.w.version
+			n.w.actions = append(n.w.actions, action{
+				from: "store", to: n.name,
+				deliver: func() { answer(v, ok) },
+				lose:    func() { answer(0, false) },
+			})
+		},
+		lose: func() { answer(0, false) },
+	})
+}
+
+// loseFor loses all that is under way from or to the named places, and
+// delivers the rest, until nothing is under way.
+func (w *world) loseFor(names ...string) {
+	for len(w.actions) > 0 {
+		a := w.actions[0]
+		if slices.Contains(names, a.from) || slices.Contains(names, a.to) {
+			w.lose(0)
+			continue
+		}
+		w.deliver(0)
+	}
+}
+
+// advanceWithout is advance with some places cut off.
+func (w *world) advanceWithout(d time.Duration, names ...string) {
+	const step = 100 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		w.tick()
+		w.loseFor(names...)
+	}
+}
+
+// answered returns how a request ended, or "" if it has not.
+func (w *world) answered(id once.RequestID) outcome.Reason {
+	if a := w.sent[id].answer; a != nil {
+		return a.Outcome.Reason
+	}
+	return ""
+}
+
+// isRunning reports whether a request was dispatched and has not ended.
+func (w *world) isRunning(id once.RequestID) bool {
+	return slices.Contains(w.nodes[w.sent[id].node].running, id)
+}
+
+// ran is the end of a request whose target answered.
+func ran(body byte) once.Result {
+	return once.Result{
+		Outcome: outcome.New(outcome.ReasonAnswered, "", 0),
+		Answer:  &once.Answer{Status: 201, Body: []byte{body}},
+	}
+}
+
+// ended is the end of a request without an answer.
+func ended(reason outcome.Reason) once.Result {
+	return once.Result{Outcome: outcome.New(reason, "", 0)}
+}
--- /dev/null
+++ b/once/home.go
@@ -0,0 +1,229 @@
+package once
+
+import (
+	"slices"
+	"time"
+
+	"github.com/qmuntal/stateless"
+
+	"filbertmill.example/outcome"
+)
+
+// RequestID identifies a request within one Home.
+type RequestID uint64
+
+// Request is one sending of a caller's request with an idempotency key.
+type Request struct {
+	// ID is unique among the requests that the Home has not answered.
+	ID RequestID
+	// Key and Digest say what is asked.
+	Key    Key
+	Digest Digest
+}
+
+// Result is the end of a dispatched request.
+type Result struct {
+	// Outcome says what became of it.
+	Outcome outcome.Outcome
+	// Answer is the whole answer if Outcome is Run and the answer is not
+	// longer than MaxAnswerBytes; else nil.
+	Answer *Answer
+}
+
+// OpID ties an answer to what a Home asked of its Delegate.
+type OpID uint64
+
+// Delegate carries out what a Home decides. Its methods are called during a
+// call to the Home and must neither block nor call it back.
+type Delegate interface {
+	// Dispatch runs the request on a target, at most once; Finish must follow.
+	Dispatch(id RequestID)
+	// Reply ends a request that is not dispatched.
+	Reply(id RequestID, r Result)
+	// Send sends a message to a witness; Received must follow, unless the
+	// message is a Done or a Release.
+	Send(op OpID, to Member, m Message)
+	// Read reads the tenure from the store itself, not from a cache; HaveRead
+	// must follow.
+	Read(op OpID)
+	// Write writes the tenure if the record's revision is still the given one;
+	// HaveWritten must follow.
+	Write(op OpID, t Tenure, after Revision)
+}
+
+// Home decides which keyed requests of one service may be dispatched.
+type Home struct {
+	cfg        Config
+	self       Member
+	delegate   Delegate
+	phase      *stateless.StateMachine
+	candidates []string
+
+	// epoch is that of the latest tenure that this home claimed; complete says
+	// that entries hold every key that was dispatched up to it.
+	epoch     Epoch
+	complete  bool
+	lostUntil time.Time
+	entries   map[Key]*entry
+	dispatch  map[RequestID]*entry
+	kept      int
+	sequence  uint64
+
+	pending []waiter
+	ops     map[OpID]op
+	lastOp  OpID
+
+	round       round
+	doubt       bool // a witness failed: it has to be replaced
+	retryAt     time.Time
+	heartbeatAt time.Time
+	sweepAt     time.Time
+	missed      map[Member]int
+	// seen is the highest epoch that a witness has told of.
+	seen Epoch
+	// confirmed is the latest store operation that proved that no other home
+	// had taken over since this one knew all keys.
+	confirmed OpID
+}
+
+// waiter is a request that waits for its claim.
+type waiter struct {
+	Request
+	arrived time.Time
+	// before is the last operation that was started when the request came.
+	before OpID
+}
+
+// NewHome returns a home that holds no tenure.
+func NewHome(cfg Config, self Member, d Delegate) *Home {
+	return &Home{
+		cfg:      cfg,
+		self:     self,
+		delegate: d,
+		phase:    newPhaseMachine(),
+		entries:  make(map[Key]*entry),
+		dispatch: make(map[RequestID]*entry),
+		ops:      make(map[OpID]op),
+		missed:   make(map[Member]int),
+	}
+}
+
+// SetCandidates replaces the names of the nodes that may be witnesses, best
+// first.
+func (h *Home) SetCandidates(names []string) {
+	h.candidates = names
+}
+
+// Submit offers a request: it is dispatched or replied to, now or later.
+func (h *Home) Submit(now time.Time, r Request) {
+	if h.known(now, r) {
+		return
+	}
+	w := waiter{Request: r, arrived: now, before: h.lastOp}
+	if h.active() && h.begin(now, w) {
+		return
+	}
+	h.pending = append(h.pending, w)
+	h.Tick(now)
+}
+
+// known answers a request whose key the home has seen. It reports false if the
+// key is not known.
+func (h *Home) known(now time.Time, r Request) bool {
+	e := h.lookup(now, r.Key)
+	if e == nil {
+		return false
+	}
+	switch {
+	case e.digest != r.Digest && e.state == stateClaiming:
+		return false
+	case e.digest != r.Digest:
+		h.refuse(r.ID, outcome.ReasonKeyReused, "the key came with another method, path or body before")
+	case e.state == stateClaiming || e.state == stateRunning:
+		e.followers = append(e.followers, waiter{Request: r, arrived: now, before: h.lastOp})
+	case e.state == stateDone && e.answer != nil:
+		h.delegate.Reply(r.ID, Result{Outcome: outcome.New(outcome.ReasonAnswered, "", 0), Answer: e.answer})
+	case e.state == stateDone:
+		h.refuse(r.ID, outcome.ReasonEarlierUnknown, "the request ran; its answer is no longer kept")
+	default:
+		h.refuse(r.ID, outcome.ReasonEarlierUnknown, "")
+	}
+	return true
+}
+
+// refuse replies with an outcome that filbertmill itself gives.
+func (h *Home) refuse(id RequestID, reason outcome.Reason, detail string) {
+	h.delegate.Reply(id, Result{Outcome: outcome.New(reason, detail, 0)})
+}
+
+// Cancel withdraws a request that was not dispatched; its caller left. It does
+// nothing to a request that was.
+func (h *Home) Cancel(now time.Time, r Request) {
+	h.pending = withoutWaiter(h.pending, r.ID)
+	e := h.entries[r.Key]
+	if e == nil {
+		return
+	}
+	e.followers = withoutWaiter(e.followers, r.ID)
+	if e.state == stateClaiming && e.owner.ID == r.ID {
+		h.pending = append(h.pending, e.followers...)
+		h.forget(e)
+		h.retryPending(now)
+	}
+}
+
+// Finish reports the end of a dispatched request.
+func (h *Home) Finish(now time.Time, id RequestID, r Result) {
+	e := h.dispatch[id]
+	if e == nil {
+		panic("once: a request ended that was not dispatched")
+	}
+	delete(h.dispatch, id)
+	followers := e.followers
+	e.followers = nil
+	switch r.Outcome.Kind {
+	case outcome.NotRun:
+		h.forget(e)
+		h.tell(Release{Key: e.key, Claim: e.claim})
+	case outcome.Run:
+		h.keep(now, e, r.Answer)
+		h.tell(Done{Key: e.key, Claim: e.claim, Answer: e.answer})
+	default:
+		e.state = stateUnknown
+		e.expires = now.Add(h.cfg.Retention)
+	}
+	for _, w := range followers {
+		if r.Outcome.Kind == outcome.NotRun {
+			h.delegate.Reply(w.ID, r)
+			continue
+		}
+		h.known(now, w.Request)
+	}
+}
+
+// tell sends what became of a claim to the witnesses, those being installed
+// included.
+func (h *Home) tell(m Message) {
+	told := append(slices.Clone(h.round.witnesses), h.round.chosen...)
+	for i, w := range told {
+		if !slices.Contains(told[:i], w) {
+			h.delegate.Send(0, w, m)
+		}
+	}
+}
+
+// Len returns the number of keys remembered.
+func (h *Home) Len() int {
+	return len(h.entries)
+}
+
+// withoutWaiter returns the list without the request.
+func withoutWaiter(list []waiter, id RequestID) []waiter {
+	kept := list[:0]
+	for _, w := range list {
+		if w.ID != id {
+			kept = append(kept, w)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/once/main_test.go
@@ -0,0 +1,30 @@
+package once_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// modelRuns are the settings of the model test unless the command line gives
+// others, so that a run gives the same verdict each time.
+var modelRuns = map[string]string{
+	"rapid.seed":   "1",
+	"rapid.checks": "3000",
+	"rapid.steps":  "60",
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range modelRuns {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
