--- a/once/home.go
+++ b/once/home.go
@@ -79,8 +79,11 @@
 	heartbeatAt time.Time
 	sweepAt     time.Time
 	missed      map[Member]int
-	// seen is the highest epoch that a witness has told of.
-	seen Epoch
+	// seen is the highest epoch that a witness has told of. Contradicted says
+	// that a witness knew this home's epoch as another's: the store was set
+	// back to an older record.
+	seen         Epoch
+	contradicted bool
 	// confirmed is the latest store operation that proved that no other home
 	// had taken over since this one knew all keys.
 	confirmed OpID
--- a/once/home_test.go
+++ b/once/home_test.go
@@ -261,7 +261,7 @@
 	w.record, w.version = old, version
 	w.restart("d")
 	id := w.submit("d", "kd", 1)
-	w.advance(time.Second)
+	w.advanceWithout(time.Second, "b") // only c answers, which never saw kd
 	c.Assert(w.isRunning(id), qt.IsFalse)
 	c.Assert(w.answered(id), qt.Equals, outcome.ReasonEarlierUnknown)
 }
--- a/once/message.go
+++ b/once/message.go
@@ -78,10 +78,11 @@
 	Status Status `cbor:"1,keyasint"`
 	// Member is the witness as it is now.
 	Member Member `cbor:"2,keyasint"`
-	// Epoch is the highest epoch that the witness has seen, and Installed the
-	// one that it is a witness of.
-	Epoch     Epoch `cbor:"3,keyasint"`
-	Installed Epoch `cbor:"4,keyasint"`
+	// Epoch is the highest epoch that the witness has seen, Holder the member
+	// that claimed it, and Installed the epoch that it is a witness of.
+	Epoch     Epoch  `cbor:"3,keyasint"`
+	Holder    Member `cbor:"7,keyasint"`
+	Installed Epoch  `cbor:"4,keyasint"`
 	// Leaving says that the node is going down and should be replaced.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
 	// Copy is what the witness holds; set in the answer to a Seal.
--- a/once/takeover.go
+++ b/once/takeover.go
@@ -70,7 +70,7 @@
 	}
 	switch {
 	case mine: // nobody else can have dispatched since
-	case t.Epoch < max(h.epoch, h.seen):
+	case h.contradicted || t.Epoch < max(h.epoch, h.seen):
 		h.lose(now) // the store was set back: nobody knows what is missing
 	case !t.Started:
 		h.complete = true
@@ -92,6 +92,16 @@
 	h.write(now, opClaim, next)
 }
 
+// note takes note of the epoch that a witness has seen. It reports whether
+// this home's epoch is not the latest.
+func (h *Home) note(a Ack) bool {
+	h.seen = max(h.seen, a.Epoch)
+	if a.Epoch == h.epoch && a.Holder != h.self {
+		h.contradicted = true
+	}
+	return a.Epoch > h.epoch || h.contradicted
+}
+
 // confirm notes that the store showed this home to hold the tenure at some
 // time after the operation started.
 func (h *Home) confirm(o op) {
@@ -101,6 +111,7 @@
 // lose notes that the copy of earlier keys cannot be had any more.
 func (h *Home) lose(now time.Time) {
 	h.complete = true
+	h.contradicted = false
 	h.lostUntil = now.Add(h.cfg.Retention)
 }
 
@@ -154,7 +165,7 @@
 		h.enlist(now)
 		return
 	case answered && a.Status == StatusSealed:
-		h.seen = max(h.seen, a.Epoch)
+		h.note(a)
 		h.stop(now, h.cfg.RetryInterval)
 		return
 	case answered && a.Status == StatusRestarted:
@@ -209,8 +220,7 @@
 	if !h.in(phaseEnlisting) {
 		return
 	}
-	if answered && a.Epoch > h.epoch {
-		h.seen = max(h.seen, a.Epoch)
+	if answered && h.note(a) {
 		h.stop(now, h.cfg.RetryInterval)
 		return
 	}
@@ -268,7 +278,7 @@
 		return
 	}
 	if !answered || a.Status != StatusAccepted {
-		h.seen = max(h.seen, a.Epoch)
+		h.note(a)
 		h.stop(now, h.cfg.RetryInterval)
 		return
 	}
--- a/once/witness.go
+++ b/once/witness.go
@@ -64,7 +64,7 @@
 
 // ack returns an answer with the witness's present state.
 func (w *Witness) ack(s Status) Ack {
-	return Ack{Status: s, Member: w.self, Epoch: w.sealed, Installed: w.installed, Leaving: w.leaving}
+	return Ack{Status: s, Member: w.self, Epoch: w.sealed, Holder: w.holder, Installed: w.installed, Leaving: w.leaving}
 }
 
 // raise takes note of a tenure. It reports false if the tenure is not the
