node: a later refusal proves nothing of an earlier attempt; retry budget

Cause: an idempotent request whose first attempt was lost and whose second was refused was answered not-run although the first target had run it; the same on the hop between nodes. Change: results of attempts and of homes are combined so that not-run never replaces an answer or an unknown one; second attempts draw on the service's budget, and none is made once every target has failed the request.

--- a/node/forward.go
+++ b/node/forward.go
@@ -28,12 +28,14 @@
 	last := refused(outcome.ReasonNoHome, "")
 	for _, m := range n.homes(r.service.Name) {
 		if m.Name() == n.settings.Name {
-			return n.runHere(ctx, r)
+			return combine(last, n.runHere(ctx, r))
 		}
 		res, next := n.forward(ctx, r, m)
+		res = combine(last, res)
 		if !next {
 			return res
 		}
+		res.settled(nil)
 		last = res
 		n.Emit(event.Event{
 			Time: time.Now(), Kind: event.KindFailover, Service: r.service.Name, Request: r.id,
--- a/node/home.go
+++ b/node/home.go
@@ -41,12 +41,15 @@
 			return result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter)}
 		}
 		a := n.try(ctx, r, g, id)
-		last = n.conclude(r, a)
-		if try == maxAttempts || !n.mayRetry(ctx, r, a) {
+		res := n.conclude(r, a)
+		if try > 1 {
+			res = combine(last, res)
+		}
+		last = res
+		if try == maxAttempts || !n.mayRetry(ctx, r, a, try) {
 			return last
 		}
-		last.settle(nil)
-		last.settle = nil
+		last.settled(nil)
 		exclude = append(exclude, a.target)
 		n.Emit(event.Event{
 			Time: time.Now(), Kind: event.KindRetry, Service: r.service.Name, Target: a.target,
@@ -200,23 +203,6 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// mayRetry reports whether the request may be offered to another target.
-func (n *Node) mayRetry(ctx context.Context, r *request, a attempt) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if a.body != nil && a.body.stream != nil {
-		return false
-	}
-	switch a.verdict {
-	case pool.VerdictAnswered, pool.VerdictCancelled, pool.VerdictTimeout:
-		return false
-	case pool.VerdictUnreachable, pool.VerdictRefused:
-		return r.body.replayable()
-	}
-	return r.resendable()
-}
-
 // finish reports the end of an attempt to the Scheduler. A non-nil err says
 // that the answer's body broke off while it was passed on.
 func (n *Node) finish(r *request, a attempt, err error) {
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -7,6 +7,7 @@
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
 	"filbertmill.example/pool"
+	"filbertmill.example/retry"
 )
 
 // servicePool ties one service's Scheduler to the node; it is the Scheduler's
@@ -17,6 +18,7 @@
 	sched   pool.Scheduler
 	address map[string]string
 	waiting map[pool.RequestID]chan<- grant
+	retries *retry.Budget
 }
 
 // grant answers an admission: a target to run on, or a refusal.
@@ -28,7 +30,11 @@
 
 // newServicePool makes the pool of a service with the targets listed for it.
 func newServicePool(c *controlLoop, svc *dynamic.Service, now time.Time) *servicePool {
-	p := &servicePool{control: c, waiting: make(map[pool.RequestID]chan<- grant)}
+	p := &servicePool{
+		control: c,
+		waiting: make(map[pool.RequestID]chan<- grant),
+		retries: retry.NewBudget(retryConfig(svc)),
+	}
 	cfg := poolConfig(svc, c.config.Targets)
 	if svc.Variant == dynamic.VariantDirect {
 		p.sched = pool.NewDirect(cfg, p, c.seed)
@@ -42,6 +48,7 @@
 // configure brings a configuration into force.
 func (p *servicePool) configure(svc *dynamic.Service, now time.Time) {
 	p.service = svc
+	p.retries.SetConfig(retryConfig(svc))
 	p.address = make(map[string]string)
 	var targets []pool.Target
 	for _, t := range p.control.config.Targets {
@@ -148,6 +155,9 @@
 		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
 		return
 	}
+	if len(m.request.Exclude) == 0 {
+		p.retries.Request(now)
+	}
 	p.waiting[m.request.ID] = m.reply
 	p.sched.Submit(now, m.request)
 }
