node: quarantine of requests that crash targets

Cause: a request that crashes whatever runs it is sent again through other nodes and takes one paid copy after another. Change: the home knows requests by fingerprint; an attempt counts as a crash if its connection broke and nothing listens at the target right after. After two targets the fingerprint is refused, the targets absolved, and an event says why.

--- a/node/body.go
+++ b/node/body.go
@@ -24,6 +24,8 @@
 	stream io.Reader
 	length int
 	sent   bool
+	// head is the start of a streamed body.
+	head []byte
 }
 
 // readRequestBody reads a small body whole and the start of a large one.
@@ -50,7 +52,7 @@
 		length = -1
 	}
 	rest := &limitReader{src: io.MultiReader(bytes.NewReader(head), src), left: limit}
-	return &requestBody{stream: rest, length: length}, nil
+	return &requestBody{stream: rest, length: length, head: head}, nil
 }
 
 // replayable reports whether the body can be sent once more.
--- a/node/control.go
+++ b/node/control.go
@@ -6,6 +6,7 @@
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
+	"filbertmill.example/poison"
 	"filbertmill.example/pool"
 )
 
@@ -30,6 +31,7 @@
 	config  *dynamic.Config
 	leaving map[string]bool
 	pools   map[string]*servicePool
+	poison  *poison.Tracker
 	seed    uint64
 }
 
@@ -50,6 +52,7 @@
 		config:  &dynamic.Config{},
 		leaving: make(map[string]bool),
 		pools:   make(map[string]*servicePool),
+		poison:  poison.NewTracker(poison.DefaultConfig()),
 		seed:    seed,
 	}
 }
--- a/node/home.go
+++ b/node/home.go
@@ -26,6 +26,8 @@
 	body    *answerBody
 	start   time.Time
 	id      pool.RequestID
+	// crashed says that nothing listened at the target after it broke off.
+	crashed bool
 }
 
 // runHere runs a request on the targets of its service, as their home.
@@ -63,8 +65,9 @@
 	id := pool.RequestID(n.lastID.Add(1))
 	reply := make(chan grant, 1)
 	sent := n.control.send(submitCommand{
-		service: r.service.Name,
-		reply:   reply,
+		service:     r.service.Name,
+		reply:       reply,
+		fingerprint: r.fingerprint(),
 		request: pool.Request{
 			ID:         id,
 			Route:      r.route.Name,
@@ -111,6 +114,7 @@
 	}
 	if a.failure != nil {
 		a.verdict = failureVerdict(a.failure)
+		a.crashed = a.verdict == pool.VerdictReset && isDown(g.address)
 		return a
 	}
 	a.leaving = len(a.answer.Response.Header.Peek(headerTargetLeaving)) > 0
@@ -217,5 +221,9 @@
 		service: r.service.Name,
 		id:      a.id,
 		result:  pool.Result{Verdict: verdict, Latency: time.Since(a.start), Leaving: a.leaving},
+		attempt: attemptEnd{
+			target: a.target, route: r.route.Name, request: r.id,
+			fingerprint: r.fingerprint(), start: a.start, crashed: a.crashed,
+		},
 	})
 }
--- a/node/routes.go
+++ b/node/routes.go
@@ -42,15 +42,20 @@
 // match returns the route with the longest prefix among those of the host, or
 // else among those of any host; nil if none matches.
 func (t *routeTable) match(host, path string) *dynamic.Route {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	if r := matchPrefix(t.byHost[strings.ToLower(host)], path); r != nil {
+	if r := matchPrefix(t.byHost[hostName(host)], path); r != nil {
 		return r
 	}
 	return matchPrefix(t.byHost[anyHost], path)
 }
 
+// hostName returns the host name of a Host header, without the port.
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
 // route returns the route with the given name, or nil.
 func (t *routeTable) route(name string) *dynamic.Route {
 	for _, list := range t.byHost {
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -6,6 +6,7 @@
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
 	"filbertmill.example/pool"
 	"filbertmill.example/retry"
 )
@@ -144,9 +145,10 @@
 // submitCommand offers an attempt; the grant comes on reply, which must have
 // room for one.
 type submitCommand struct {
-	service string
-	request pool.Request
-	reply   chan<- grant
+	service     string
+	request     pool.Request
+	fingerprint poison.Fingerprint
+	reply       chan<- grant
 }
 
 func (m submitCommand) apply(c *controlLoop, now time.Time) {
@@ -155,6 +157,9 @@
 		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
 		return
 	}
+	if p.refuseIfPoison(now, m) {
+		return
+	}
 	if len(m.request.Exclude) == 0 {
 		p.retries.Request(now)
 	}
@@ -189,11 +194,23 @@
 	service string
 	id      pool.RequestID
 	result  pool.Result
+	attempt attemptEnd
+}
+
+// attemptEnd is what the poison tracker must know of an attempt.
+type attemptEnd struct {
+	target      string
+	route       string
+	request     string
+	fingerprint poison.Fingerprint
+	start       time.Time
+	crashed     bool
 }
 
 func (m finishCommand) apply(c *controlLoop, now time.Time) {
 	if p := c.pools[m.service]; p != nil {
 		p.sched.Finish(now, m.id, m.result)
+		p.judge(now, m)
 	}
 }
 
