--- /dev/null
+++ b/event/merge.go
@@ -0,0 +1,20 @@
+package event
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Merge joins the events of several nodes in the order of their clocks and
+// keeps the latest up to the limit; 0 sets no limit. Events of one node stay
+// in the order in which it took the decisions.
+func Merge(answers []Answer, limit int) []Event {
+	var events []Event
+	for _, a := range answers {
+		events = append(events, a.Events...)
+	}
+	slices.SortStableFunc(events, func(a, b Event) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Node, b.Node))
+	})
+	return latest(events, limit)
+}
--- /dev/null
+++ b/event/sentence.go
@@ -0,0 +1,135 @@
+package event
+
+import (
+	"fmt"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+// timeFormat is how sentences write the time, in UTC.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
+// Sentence renders the event for people: when and where the decision was
+// taken, what it was, why, and the evidence.
+func (e Event) Sentence() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s: %s, because %s.", e.Time.UTC().Format(timeFormat), e.Node, e.what(), Reason(e.Rule))
+	if evidence := e.Evidence.String(); evidence != "" {
+		fmt.Fprintf(&b, " Evidence: %s.", evidence)
+	}
+	if detail := strings.TrimSpace(e.Evidence.Detail); detail != "" {
+		fmt.Fprintf(&b, " %s", asSentence(detail))
+	}
+	return b.String()
+}
+
+// what says what was decided.
+func (e Event) what() string {
+	switch e.Kind {
+	case KindEjection:
+		return e.target() + " was taken out of service" + e.change()
+	case KindReturn:
+		return e.target() + " came back into service" + e.change()
+	case KindTargetState:
+		return e.target() + " changed its state" + e.change()
+	case KindFloorHeld:
+		return e.target() + " was kept in service at the floor" + e.change()
+	case KindCommonCause:
+		return e.target() + " was kept in service" + e.change()
+	case KindRefusal:
+		return e.request() + " was refused before it ran"
+	case KindShed:
+		return e.target() + " declined " + e.request()
+	case KindRetry:
+		return e.request() + " was tried again" + prefixed(" after ", e.target())
+	case KindFailover:
+		return e.request() + " went past a node that did not serve it" + e.change()
+	case KindHomeMove:
+		return "the home of " + e.service() + " moved" + e.change()
+	case KindConfiguration:
+		return fmt.Sprintf("a decision on configuration revision %d was taken", e.Evidence.Revision) + e.change()
+	case KindPoison:
+		return e.request() + " was judged by its fingerprint" + e.change()
+	default:
+		return fmt.Sprintf("a decision of the kind %q was taken on %s", e.Kind, e.subject()) + e.change()
+	}
+}
+
+// subject names whatever the event concerns most closely.
+func (e Event) subject() string {
+	switch {
+	case e.Request != "":
+		return e.request()
+	case e.Target != "":
+		return e.target()
+	default:
+		return e.service()
+	}
+}
+
+func (e Event) target() string {
+	if e.Target == "" {
+		return ""
+	}
+	return "target " + e.Target + prefixed(" of service ", e.Service)
+}
+
+func (e Event) request() string {
+	if e.Request == "" {
+		return "a request" + prefixed(" for service ", e.Service)
+	}
+	return "request " + e.Request + prefixed(" for service ", e.Service)
+}
+
+func (e Event) service() string {
+	if e.Service == "" {
+		return "the node"
+	}
+	return "service " + e.Service
+}
+
+// change names the states before and after, as far as they are known.
+func (e Event) change() string {
+	switch {
+	case e.From != "" && e.To != "":
+		return fmt.Sprintf(" (from %s to %s)", e.From, e.To)
+	case e.From != "":
+		return fmt.Sprintf(" (from %s)", e.From)
+	case e.To != "":
+		return fmt.Sprintf(" (to %s)", e.To)
+	default:
+		return ""
+	}
+}
+
+// prefixed returns the text behind a prefix, or nothing for an empty text.
+func prefixed(prefix, text string) string {
+	if text == "" {
+		return ""
+	}
+	return prefix + text
+}
+
+// asSentence begins a text with a capital and ends it with a full stop.
+func asSentence(text string) string {
+	first, size := utf8.DecodeRuneInString(text)
+	text = string(unicode.ToUpper(first)) + text[size:]
+	if strings.HasSuffix(text, ".") {
+		return text
+	}
+	return text + "."
+}
+
+// round shortens a duration to what people read.
+func round(d time.Duration) time.Duration {
+	switch {
+	case d >= time.Second:
+		return d.Round(10 * time.Millisecond)
+	case d >= time.Millisecond:
+		return d.Round(10 * time.Microsecond)
+	default:
+		return d
+	}
+}
