Count requests against the objectives and report the burn

Cause: operators need to see what spends each service's error budget. Change: a bounded recorder in buckets of four widths, merged across nodes by sums; report with multi-window burn rates as text, JSON and one HTML page with plots drawn by gonum.org/v1/plot. The page was opened in Chromium from a file, with the network flags off, and looked at.

--- /dev/null
+++ b/burn/cause.go
@@ -0,0 +1,83 @@
+package burn
+
+import (
+	"net/http"
+
+	"filbertmill.example/outcome"
+)
+
+// Cause says what became of a request with regard to the objective.
+type Cause uint8
+
+// The causes. All but CauseGood burn the error budget.
+const (
+	// CauseGood means answered whole and in time.
+	CauseGood Cause = iota
+	// CauseTarget means that a target failed or was too slow.
+	CauseTarget
+	// CauseCrest means that the request was shed since demand exceeded capacity.
+	CauseCrest
+	// CausePoison means that the request was refused since its like crash targets.
+	CausePoison
+	// CauseOwn means that filbertmill itself failed.
+	CauseOwn
+	// causeCount is the number of causes that are counted.
+	causeCount
+	// CauseCaller means that the caller's own doing ended the request; it is
+	// not counted at all.
+	CauseCaller
+)
+
+// causeNames are the names of the counted causes in reports.
+var causeNames = [causeCount]string{"good", "target faults", "shed at the crest", "poison", "own faults"}
+
+// String returns the cause's name in reports.
+func (c Cause) String() string {
+	if c < causeCount {
+		return causeNames[c]
+	}
+	return "caller"
+}
+
+// reasonCauses gives the cause for each reason that ends a request without a
+// target's answer. A reason that is missing is charged to filbertmill itself.
+var reasonCauses = map[outcome.Reason]Cause{
+	outcome.ReasonNoRoute:          CauseCaller,
+	outcome.ReasonBadRequest:       CauseCaller,
+	outcome.ReasonTooLarge:         CauseCaller,
+	outcome.ReasonCallerLeft:       CauseCaller,
+	outcome.ReasonKeyReused:        CauseCaller,
+	outcome.ReasonQueueFull:        CauseCrest,
+	outcome.ReasonTooLate:          CauseCrest,
+	outcome.ReasonCallerShare:      CauseCrest,
+	outcome.ReasonTargetRefused:    CauseCrest,
+	outcome.ReasonNoTarget:         CauseTarget,
+	outcome.ReasonUnreachable:      CauseTarget,
+	outcome.ReasonConnectionLost:   CauseTarget,
+	outcome.ReasonTimeout:          CauseTarget,
+	outcome.ReasonIncompleteAnswer: CauseTarget,
+	outcome.ReasonPoison:           CausePoison,
+	outcome.ReasonNoHome:           CauseOwn,
+	outcome.ReasonHomeLost:         CauseOwn,
+	outcome.ReasonNoClaim:          CauseOwn,
+	outcome.ReasonEarlierUnknown:   CauseOwn,
+	outcome.ReasonShutdown:         CauseOwn,
+	outcome.ReasonNotAuthenticated: CauseOwn,
+}
+
+// Classify returns the cause of a request's end. The status is the one of the
+// target's answer, if there is one; late says that the answer ended after the
+// request's deadline.
+func Classify(reason outcome.Reason, status int, late bool) Cause {
+	if reason == outcome.ReasonAnswered {
+		if late || status >= http.StatusInternalServerError {
+			return CauseTarget
+		}
+		return CauseGood
+	}
+	cause, found := reasonCauses[reason]
+	if !found {
+		return CauseOwn
+	}
+	return cause
+}
--- /dev/null
+++ b/burn/counts.go
@@ -0,0 +1,67 @@
+package burn
+
+import "math"
+
+// Counts holds the number of requests of each cause.
+type Counts struct {
+	Good   uint64 `json:"good" cbor:"1,keyasint,omitempty"`
+	Target uint64 `json:"target_faults" cbor:"2,keyasint,omitempty"`
+	Crest  uint64 `json:"shed_at_crest" cbor:"3,keyasint,omitempty"`
+	Poison uint64 `json:"poison" cbor:"4,keyasint,omitempty"`
+	Own    uint64 `json:"own_faults" cbor:"5,keyasint,omitempty"`
+}
+
+// Plus returns the sums of both.
+func (c Counts) Plus(other Counts) Counts {
+	return Counts{
+		Good:   c.Good + other.Good,
+		Target: c.Target + other.Target,
+		Crest:  c.Crest + other.Crest,
+		Poison: c.Poison + other.Poison,
+		Own:    c.Own + other.Own,
+	}
+}
+
+// Failed returns the number of requests that burned the budget.
+func (c Counts) Failed() uint64 { return c.Target + c.Crest + c.Poison + c.Own }
+
+// Total returns the number of all requests that count.
+func (c Counts) Total() uint64 { return c.Good + c.Failed() }
+
+// Of returns the number of requests of one cause.
+func (c Counts) Of(cause Cause) uint64 {
+	switch cause {
+	case CauseGood:
+		return c.Good
+	case CauseTarget:
+		return c.Target
+	case CauseCrest:
+		return c.Crest
+	case CausePoison:
+		return c.Poison
+	case CauseOwn:
+		return c.Own
+	default:
+		return 0
+	}
+}
+
+// tally is Counts in the size in which a bucket keeps them; it stops at the
+// largest number.
+type tally [causeCount]uint32
+
+func (t *tally) add(cause Cause) {
+	if t[cause] < math.MaxUint32 {
+		t[cause]++
+	}
+}
+
+func (t tally) counts() Counts {
+	return Counts{
+		Good:   uint64(t[CauseGood]),
+		Target: uint64(t[CauseTarget]),
+		Crest:  uint64(t[CauseCrest]),
+		Poison: uint64(t[CausePoison]),
+		Own:    uint64(t[CauseOwn]),
+	}
+}
--- /dev/null
+++ b/burn/page/page.go
@@ -0,0 +1,66 @@
+package page
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+	"time"
+
+	"filbertmill.example/burn"
+)
+
+//go:embed page.html
+var text string
+
+var layout = template.Must(template.New("page").Funcs(template.FuncMap{
+	"percent": burn.Percent,
+	"span":    burn.Span,
+	"rate":    burn.FormatRate,
+	"moment":  func(t time.Time) string { return t.UTC().Format("2 January 2006 15:04:05 UTC") },
+}).Parse(text))
+
+// service is a service's report with its plots.
+type service struct {
+	burn.ServiceReport
+	RatePlot    template.HTML
+	FailurePlot template.HTML
+}
+
+// content is what the page shows.
+type content struct {
+	*burn.Report
+	Drawn []service
+}
+
+// Write writes the report as one HTML page.
+func Write(out io.Writer, r *burn.Report) error {
+	c := content{Report: r}
+	for _, s := range r.Services {
+		drawn, err := drawService(s, r.Time)
+		if err != nil {
+			return err
+		}
+		c.Drawn = append(c.Drawn, drawn)
+	}
+	return layout.Execute(out, c)
+}
+
+// drawService draws the plots of a service that has had requests.
+func drawService(s burn.ServiceReport, now time.Time) (service, error) {
+	drawn := service{ServiceReport: s}
+	if len(s.Minutes) > 0 {
+		svg, err := ratePlot(s)
+		if err != nil {
+			return drawn, err
+		}
+		drawn.RatePlot = template.HTML(svg)
+	}
+	if len(s.Hours) > 0 {
+		svg, err := failurePlot(s, now)
+		if err != nil {
+			return drawn, err
+		}
+		drawn.FailurePlot = template.HTML(svg)
+	}
+	return drawn, nil
+}
