--- a/node/listener.go
+++ b/node/listener.go
@@ -61,9 +61,9 @@
 		server.WithDisablePrintRoute(true),
 		server.WithRedirectTrailingSlash(false),
 		server.WithUnescapePathValues(false),
-		server.WithNoDefaultServerHeader(true),
 		server.WithDisableDefaultContentType(true),
 		server.WithExitWaitTime(closeTimeout),
+		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	}
 	if mode == buffered {
 		opts = append(opts, server.WithMaxRequestBodySize(maxAdminBodyBytes))
