Explain decisions and report the burn from any node

Cause: an operator asks one node and needs the whole fleet's answer. Change: the node keeps its decisions in the ring and counts each caller's request once, where it was answered; explain and burn ask the other members over control messages, a bounded number at once, and name those that did not answer. The node opens its control listener. Exceptions are applied with the configuration and end by themselves. Refusals carry the request's id. Events on requests and on states have a half of the ring each, so that a crest of refusals can't displace ejections.

--- a/burn/merge.go
+++ b/burn/merge.go
@@ -76,9 +76,9 @@
 // Point is one bucket of a series over time.
 type Point struct {
 	// Start is the beginning of the bucket.
-	Start time.Time
+	Start time.Time `json:"start"`
 	// Counts are the requests that ended in it.
-	Counts Counts
+	Counts Counts `json:"counts"`
 }
 
 // Series returns the buckets of a service at one of Levels, oldest first,
--- a/burn/report.go
+++ b/burn/report.go
@@ -48,8 +48,8 @@
 	Alerts []Alert `json:"alerts"`
 
 	// Minutes and Hours are the counts over time, oldest first, for plots.
-	Minutes []Point `json:"-"`
-	Hours   []Point `json:"-"`
+	Minutes []Point `json:"minutes"`
+	Hours   []Point `json:"hours"`
 }
 
 // Rate is the burn rate over one window: 1 spends the budget exactly within
--- /dev/null
+++ b/cmd/filbertmill/explain.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"net/url"
+	"os"
+	"time"
+
+	"filbertmill.example/event"
+	"filbertmill.example/node"
+)
+
+// explainCommand prints the decisions of the whole fleet on one matter.
+type explainCommand struct {
+	Target  string        `arg:"--target" placeholder:"NAME" help:"decisions on this target"`
+	Request string        `arg:"--request" placeholder:"ID" help:"decisions on the request with this id"`
+	Service string        `arg:"--service" placeholder:"NAME" help:"decisions on this service"`
+	Since   time.Duration `arg:"--since" placeholder:"DURATION" help:"how far to look back, for example 10m [default: as far as is kept]"`
+	JSON    bool          `arg:"--json" help:"print JSON in place of sentences"`
+	Admin   string        `arg:"--admin,required" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
+}
+
+// Epilogue is printed below the help.
+func (explainCommand) Epilogue() string {
+	return "Name at least one of --target, --request and --service; several must all match.\n" + reportExitCodes
+}
+
+// reportExitCodes documents the exit codes of commands that ask the fleet.
+const reportExitCodes = "Exit codes: 0 all nodes answered, 1 no answer, 2 wrong command line, 3 some nodes did not answer."
+
+func (c *explainCommand) run() int {
+	if c.Target == "" && c.Request == "" && c.Service == "" {
+		fmt.Fprintln(os.Stderr, "filbertmill: name at least one of --target, --request and --service")
+		return exitUsage
+	}
+	if c.Since < 0 {
+		fmt.Fprintln(os.Stderr, "filbertmill: --since must not be negative")
+		return exitUsage
+	}
+	var x event.Explanation
+	if err := askNode(c.Admin, node.ExplainPath, c.query(), &x); err != nil {
+		return report(err)
+	}
+	if c.JSON {
+		if err := printJSON(os.Stdout, x); err != nil {
+			return report(err)
+		}
+	} else {
+		x.WriteText(os.Stdout)
+	}
+	return exitFor(len(x.Silent))
+}
+
+// query returns the parameters of the question.
+func (c *explainCommand) query() url.Values {
+	q := url.Values{}
+	for name, value := range map[string]string{"target": c.Target, "request": c.Request, "service": c.Service} {
+		if value != "" {
+			q.Set(name, value)
+		}
+	}
+	if c.Since > 0 {
+		q.Set("since", c.Since.String())
+	}
+	return q
+}
--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -23,6 +23,8 @@
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node until it is told to stop"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"report every problem in settings or configuration files"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"say why the fleet took its decisions"`
+	Report  *reportCommand  `arg:"subcommand:report" help:"print a report on the fleet"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run three nodes and stand-in targets in one process"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
--- /dev/null
+++ b/event/explanation.go
@@ -0,0 +1,58 @@
+package event
+
+import (
+	"fmt"
+	"io"
+)
+
+// Explanation joins what the nodes of a fleet recorded for a query.
+type Explanation struct {
+	// Events are the decisions, oldest first by the nodes' clocks.
+	Events []Event `json:"events"`
+	// Nodes are the nodes that answered.
+	Nodes []string `json:"nodes"`
+	// Silent are the nodes that were asked and did not answer.
+	Silent []Silent `json:"silent"`
+	// Overwritten is the number of events that the answering nodes no longer
+	// have; any of them might have matched.
+	Overwritten uint64 `json:"overwritten"`
+}
+
+// Silent is a node that did not answer.
+type Silent struct {
+	Node  string `json:"node"`
+	Error string `json:"error"`
+}
+
+// Explain joins the answers of the nodes; the latest events up to the limit
+// are kept, 0 sets no limit.
+func Explain(answers []Answer, silent []Silent, limit int) Explanation {
+	x := Explanation{Events: Merge(answers, limit), Nodes: []string{}, Silent: silent}
+	if x.Events == nil {
+		x.Events = []Event{}
+	}
+	if x.Silent == nil {
+		x.Silent = []Silent{}
+	}
+	for _, a := range answers {
+		x.Nodes = append(x.Nodes, a.Node)
+		x.Overwritten += a.Overwritten
+	}
+	return x
+}
+
+// WriteText writes a sentence for each event, and what is missing.
+func (x Explanation) WriteText(out io.Writer) {
+	for _, e := range x.Events {
+		fmt.Fprintln(out, e.Sentence())
+	}
+	if len(x.Events) == 0 {
+		fmt.Fprintf(out, "No decision matches on the %d nodes that answered.\n", len(x.Nodes))
+	}
+	if x.Overwritten > 0 {
+		fmt.Fprintf(out, "Older decisions are gone: %d were overwritten by newer ones.\n", x.Overwritten)
+	}
+	for _, s := range x.Silent {
+		fmt.Fprintf(out, "No answer from node %s: %s\n", s.Node, s.Error)
+	}
+}
--- a/event/ring.go
+++ b/event/ring.go
@@ -1,27 +1,52 @@
 package event
 
-import "sync"
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
 
-// Ring keeps the latest events in memory. All methods may be called from any
+// Ring keeps the latest events in memory. Events on single requests and events
+// on the state of the fleet have a half each, so that many refusals at once
+// can't displace the ejections before them. All methods may be called from any
 // goroutine; each holds a lock only while it copies.
 type Ring struct {
 	mu sync.Mutex
-	// events holds the event with the sequence number n at n modulo the size.
-	events []Event
+	// requests and state are the halves.
+	requests, state lane
 	// next is the sequence number of the next event.
 	next uint64
 }
 
-// NewRing returns a ring that keeps the given number of events, at least one.
+// lane is one half of a Ring.
+type lane struct {
+	// entries holds the n-th event of the lane at n modulo the length.
+	entries []entry
+	// count is the number of events that the lane was ever given.
+	count uint64
+}
+
+// entry is an event with its sequence number in the whole Ring.
+type entry struct {
+	sequence uint64
+	event    Event
+}
+
+// NewRing returns a ring that keeps the given number of events, at least two.
 func NewRing(size int) *Ring {
-	return &Ring{events: make([]Event, max(size, 1))}
+	half := max(size/2, 1)
+	return &Ring{requests: lane{entries: make([]entry, half)}, state: lane{entries: make([]entry, half)}}
 }
 
-// Emit stores the event in place of the oldest one.
+// Emit stores the event in place of the oldest one of its half.
 func (r *Ring) Emit(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.events[r.next%uint64(len(r.events))] = e
+	into := &r.state
+	if e.Kind.onRequest() {
+		into = &r.requests
+	}
+	into.put(entry{sequence: r.next, event: e})
 	r.next++
 }
 
@@ -39,21 +64,48 @@
 // Find returns the events that the query selects; Node is left empty.
 func (r *Ring) Find(q Query) Answer {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	size := uint64(len(r.events))
-	var a Answer
-	if r.next > size {
-		a.Overwritten = r.next - size
-	}
-	for n := a.Overwritten; n < r.next; n++ {
-		if e := r.events[n%size]; q.Match(e) {
-			a.Events = append(a.Events, e)
-		}
+	found := append(r.state.find(q), r.requests.find(q)...)
+	overwritten := r.state.overwritten() + r.requests.overwritten()
+	r.mu.Unlock()
+	slices.SortFunc(found, func(a, b entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	a := Answer{Overwritten: overwritten}
+	for _, e := range found {
+		a.Events = append(a.Events, e.event)
 	}
 	a.Events = latest(a.Events, q.Limit)
 	return a
 }
 
+func (l *lane) put(e entry) {
+	l.entries[l.count%uint64(len(l.entries))] = e
+	l.count++
+}
+
+// overwritten returns the number of events that the lane no longer has.
+func (l *lane) overwritten() uint64 {
+	return l.count - min(l.count, uint64(len(l.entries)))
+}
+
+// find returns the events that the query selects, in no order.
+func (l *lane) find(q Query) []entry {
+	var found []entry
+	for _, e := range l.entries[:min(l.count, uint64(len(l.entries)))] {
+		if q.Match(e.event) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// onRequest reports whether events of the kind are about a single request.
+func (k Kind) onRequest() bool {
+	switch k {
+	case KindRefusal, KindShed, KindRetry, KindFailover:
+		return true
+	}
+	return false
+}
+
 // latest returns the last events up to the limit; 0 sets no limit.
 func latest(events []Event, limit int) []Event {
 	if limit <= 0 || len(events) <= limit {
--- a/fleet/control/conn.go
+++ b/fleet/control/conn.go
@@ -137,7 +137,7 @@
 	if failure != nil {
 		e.Error = failure.Error()
 	} else if body != nil {
-		raw, err := cbor.Marshal(body)
+		raw, err := encoding.Marshal(body)
 		if err != nil {
 			e.Error = err.Error()
 		}
--- a/fleet/control/envelope.go
+++ b/fleet/control/envelope.go
@@ -49,6 +49,17 @@
 	DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 })
 
+// encoding keeps times to the nanosecond.
+var encoding = mustEncMode(cbor.EncOptions{Time: cbor.TimeRFC3339Nano})
+
+func mustEncMode(o cbor.EncOptions) cbor.EncMode {
+	m, err := o.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 func mustDecMode(o cbor.DecOptions) cbor.DecMode {
 	m, err := o.DecMode()
 	if err != nil {
@@ -59,7 +70,7 @@
 
 // Encode returns the encoded form of an envelope, or ErrTooLarge.
 func Encode(e Envelope) ([]byte, error) {
-	data, err := cbor.Marshal(e)
+	data, err := encoding.Marshal(e)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode control envelope")
 	}
--- a/fleet/control/envelope_test.go
+++ b/fleet/control/envelope_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
@@ -57,3 +58,12 @@
 		qt.Assert(t, back, qt.DeepEquals, e)
 	})
 }
+
+func TestTimesKeepTheirNanoseconds(t *testing.T) {
+	want := time.Date(2026, 12, 4, 2, 0, 0, 123456789, time.UTC)
+	body, err := encoding.Marshal([]time.Time{want})
+	qt.Assert(t, err, qt.IsNil)
+	var got []time.Time
+	qt.Assert(t, Unmarshal(body, &got), qt.IsNil)
+	qt.Assert(t, got, qt.DeepEquals, []time.Time{want})
+}
--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -134,7 +133,7 @@
 // Send delivers a message without a reply. A nil error means that it was
 // handed to the connection, not that it arrived.
 func (t *Transport) Send(ctx context.Context, to Peer, kind Kind, msg any) error {
-	body, err := cbor.Marshal(msg)
+	body, err := encoding.Marshal(msg)
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
@@ -148,7 +147,7 @@
 // Call delivers a message and decodes the answer into reply, unless that is
 // nil. A failure reported by the other node is a *RemoteError.
 func (t *Transport) Call(ctx context.Context, to Peer, kind Kind, msg, reply any) error {
-	body, err := cbor.Marshal(msg)
+	body, err := encoding.Marshal(msg)
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
--- a/node/admin.go
+++ b/node/admin.go
@@ -26,6 +26,7 @@
 	})
 	e.GET("/readyz", n.handleReady)
 	e.GET("/pools", n.handlePools)
+	n.reportRoutes(e)
 	e.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 }
 
--- /dev/null
+++ b/node/ask.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/fleet/control"
+)
+
+const (
+	// askTimeout bounds the wait for one node's answer.
+	askTimeout = 2 * time.Second
+	// askAtOnce is the number of nodes that are asked at the same time.
+	askAtOnce = 16
+)
+
+// errNoControl means that this node has no control connections.
+var errNoControl = errors.New("this node has no control connections")
+
+// asker asks another node and waits for its reply; control.Transport is one.
+type asker interface {
+	Call(ctx context.Context, to control.Peer, kind control.Kind, msg, reply any) error
+}
+
+// silentNode is a node that was asked and did not answer.
+type silentNode struct {
+	name string
+	err  error
+}
+
+// askAll asks all peers, a bounded number at once, and returns the answers and
+// the silent nodes, both in the order of the peers' names.
+func askAll[R any](
+	ctx context.Context, peers []control.Peer, ask func(ctx context.Context, to control.Peer) (R, error),
+) ([]R, []silentNode) {
+	peers = slices.SortedFunc(slices.Values(peers), func(a, b control.Peer) int { return strings.Compare(a.Name, b.Name) })
+	replies := make([]R, len(peers))
+	errs := make([]error, len(peers))
+	free := make(chan struct{}, askAtOnce)
+	var asking sync.WaitGroup
+	for i, p := range peers {
+		free <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-free }()
+			one, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			replies[i], errs[i] = ask(one, p)
+		})
+	}
+	asking.Wait()
+	return partition(peers, replies, errs)
+}
+
+// partition tells the answers from the failures.
+func partition[R any](peers []control.Peer, replies []R, errs []error) ([]R, []silentNode) {
+	var answers []R
+	var silent []silentNode
+	for i, p := range peers {
+		if errs[i] != nil {
+			silent = append(silent, silentNode{name: p.Name, err: errs[i]})
+			continue
+		}
+		answers = append(answers, replies[i])
+	}
+	return answers, silent
+}
+
+// call asks one peer; it fails if this node has no control connections.
+func (n *Node) call(ctx context.Context, to control.Peer, kind control.Kind, msg, reply any) error {
+	if n.reports.asker == nil {
+		return errNoControl
+	}
+	return n.reports.asker.Call(ctx, to, kind, msg, reply)
+}
+
+// others returns the members of the fleet besides this node.
+func (n *Node) others() []control.Peer {
+	var peers []control.Peer
+	for _, m := range n.members.members {
+		if m.Name() != n.settings.Name {
+			peers = append(peers, m.Peer)
+		}
+	}
+	return peers
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -58,6 +58,9 @@
 		if settle != nil {
 			settle(err)
 		}
+		if s == callerSide {
+			n.countBurn(time.Now(), r, res, err)
+		}
 		cancel()
 		done()
 	}
--- a/node/home.go
+++ b/node/home.go
@@ -35,6 +35,7 @@
 	for try := 1; ; try++ {
 		g, id := n.admit(ctx, r, exclude)
 		if g.refusal != nil {
+			n.emitRefusal(r, *g.refusal)
 			if try > 1 {
 				return last
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,8 @@
 	routes   atomic.Pointer[routeTable]
 	members  *memberList
 	stats    *stats
+	reports  *reports
+	inForce  configInForce
 	lastID   atomic.Uint64
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -33,6 +35,8 @@
 	callers *listener
 	peers   *listener
 	admin   *listener
+	// messages carries control messages.
+	messages *controlServer
 }
 
 // New returns a node that is not yet running. It fails if an address cannot
@@ -43,7 +47,9 @@
 		log:      log,
 		client:   exchange.NewClient(exchange.Options{Name: settings.Name}),
 		stats:    newStats(),
+		reports:  newReports(settings.EventRing, time.Now()),
 	}
+	n.inForce.effective = n.applyEffective
 	n.members = newMemberList(settings)
 	n.control = newControlLoop(n, seedOf(settings.Name))
 	if err := n.listen(); err != nil {
@@ -69,7 +75,7 @@
 		return err
 	}
 	n.adminRoutes(n.admin.engine)
-	return nil
+	return n.listenControl()
 }
 
 // CallerAddress returns the address on which callers are served.
@@ -78,8 +84,9 @@
 // AdminAddress returns the address on which operators are served.
 func (n *Node) AdminAddress() net.Addr { return n.admin.addr }
 
-// applyConfig brings a whole configuration into force.
-func (n *Node) applyConfig(cfg *dynamic.Config) {
+// applyEffective brings a configuration with its exceptions into force.
+func (n *Node) applyEffective(cfg *dynamic.Config) {
+	n.retainBurn(cfg)
 	n.routes.Store(newRouteTable(cfg))
 	n.control.send(configCommand{config: cfg})
 	n.Emit(event.Event{
@@ -94,11 +101,12 @@
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	go n.control.run(controlCtx)
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var serving sync.WaitGroup
 	for _, l := range []*listener{n.callers, n.peers, n.admin} {
 		serving.Go(func() { failed <- l.engine.Run() })
 	}
+	serving.Go(func() { failed <- n.messages.run() })
 	n.ready.Store(true)
 	n.log.Info("serving", "callers", n.callers.addr.String(), "peers", n.peers.addr.String(), "admin", n.admin.addr.String())
 	var err error
@@ -117,6 +125,7 @@
 func (n *Node) Emit(e event.Event) {
 	e.Node = n.settings.Name
 	n.stats.countEvent(e.Kind)
+	n.reports.ring.Emit(e)
 	level := hclog.Info
 	if e.Kind == event.KindRefusal || e.Kind == event.KindRetry || e.Kind == event.KindShed {
 		level = hclog.Debug
@@ -132,4 +141,7 @@
 			l.close()
 		}
 	}
+	if n.messages != nil {
+		n.messages.close()
+	}
 }
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -107,10 +107,6 @@
 // Refuse implements pool.Delegate.
 func (p *servicePool) Refuse(id pool.RequestID, r pool.Refusal) {
 	p.answer(id, grant{refusal: &r})
-	p.Event(event.Event{
-		Time: p.control.now(), Kind: event.KindRefusal, Rule: string(r.Reason),
-		Evidence: event.Evidence{Wait: r.RetryAfter},
-	})
 }
 
 // answer hands a grant to the goroutine that waits for it.
