--- a/cmd/filbertmill/explain.go
+++ b/cmd/filbertmill/explain.go
@@ -10,7 +10,8 @@
 	"filbertmill.example/node"
 )
 
-// explainCommand prints the decisions of the whole fleet on one matter.
+// explainCommand prints the decisions of the whole fleet on one matter. At
+// least one of Target, Request and Service is needed; several must all match.
 type explainCommand struct {
 	Target  string        `arg:"--target" placeholder:"NAME" help:"decisions on this target"`
 	Request string        `arg:"--request" placeholder:"ID" help:"decisions on the request with this id"`
@@ -20,14 +21,6 @@
 	Admin   string        `arg:"--admin,required" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
 }
 
-// Epilogue is printed below the help.
-func (explainCommand) Epilogue() string {
-	return "Name at least one of --target, --request and --service; several must all match.\n" + reportExitCodes
-}
-
-// reportExitCodes documents the exit codes of commands that ask the fleet.
-const reportExitCodes = "Exit codes: 0 all nodes answered, 1 no answer, 2 wrong command line, 3 some nodes did not answer."
-
 func (c *explainCommand) run() int {
 	if c.Target == "" && c.Request == "" && c.Service == "" {
 		fmt.Fprintln(os.Stderr, "filbertmill: name at least one of --target, --request and --service")
--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -2,7 +2,7 @@
 // licensed per copy.
 //
 // Exit codes: 0 success; 1 the command found a problem or failed; 2 the
-// command line is wrong.
+// command line is wrong; 3 some nodes of the fleet did not answer.
 package main
 
 import (
@@ -23,7 +23,7 @@
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node until it is told to stop"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"report every problem in settings or configuration files"`
-	Explain *explainCommand `arg:"subcommand:explain" help:"say why the fleet took its decisions"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"say why the fleet took its decisions on a target, a request or a service"`
 	Report  *reportCommand  `arg:"subcommand:report" help:"print a report on the fleet"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run three nodes and stand-in targets in one process"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
@@ -36,7 +36,8 @@
 
 // Epilogue is printed below the help.
 func (arguments) Epilogue() string {
-	return "Exit codes: 0 success, 1 a problem was found or the command failed, 2 wrong command line."
+	return "Exit codes: 0 success, 1 a problem was found or the command failed, " +
+		"2 wrong command line, 3 some nodes of the fleet did not answer."
 }
 
 // runner is one command.
--- a/cmd/filbertmill/report.go
+++ b/cmd/filbertmill/report.go
@@ -30,9 +30,6 @@
 	Admin   string `arg:"--admin,required" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
 }
 
-// Epilogue is printed below the help.
-func (burnCommand) Epilogue() string { return reportExitCodes }
-
 func (c *burnCommand) run() int {
 	if c.JSON && c.HTML != "" {
 		fmt.Fprintln(os.Stderr, "filbertmill: --json and --html exclude each other")
