--- a/burn/text.go
+++ b/burn/text.go
@@ -65,9 +65,11 @@
 }
 
 func (r *Report) writeAlerts(out io.Writer) {
+	lead := "\n"
 	for _, s := range r.Services {
 		for _, a := range s.Alerts {
-			fmt.Fprintf(out, "\n%s: %s: %s\n", a.Severity, s.Service, a)
+			fmt.Fprintf(out, "%s%s: %s: %s\n", lead, a.Severity, s.Service, a)
+			lead = ""
 		}
 	}
 }
