--- a/config/source/document.go
+++ b/config/source/document.go
@@ -45,7 +45,7 @@
 
 // Read reads INI text. Faulty lines are reported and left out of the document.
 func Read(file string, src []byte) (*Document, []Problem) {
-	x := &index{file: file, lines: map[place]int{}}
+	x := &index{file: file, sections: map[string]*sectionLines{}}
 	text := x.scan(src)
 	parsed, err := ini.LoadSources(loadOptions, text)
 	if err != nil {
@@ -54,11 +54,9 @@
 	}
 	doc := &Document{}
 	for _, section := range parsed.Sections() {
-		line, found := x.lines[place{section: section.Name()}]
-		if !found {
-			continue
+		if lines, found := x.sections[section.Name()]; found {
+			doc.Sections = append(doc.Sections, x.convert(section, lines))
 		}
-		doc.Sections = append(doc.Sections, x.convert(section, line))
 	}
 	return doc, x.problems
 }
@@ -96,18 +94,26 @@
 
 // reject records a problem at a line and returns false.
 func (x *index) reject(line int, key, format string, args ...any) bool {
-	p := Problem{File: x.file, Line: line, Section: x.section, Key: key, Text: fmt.Sprintf(format, args...)}
+	p := Problem{File: x.file, Line: line, Section: x.header(), Key: key, Text: fmt.Sprintf(format, args...)}
 	x.problems = append(x.problems, p)
 	return false
 }
 
+// header returns the section that the scan is in, or nothing.
+func (x *index) header() string {
+	if x.section == nil {
+		return ""
+	}
+	return x.section.name
+}
+
 // convert builds a Section from what the library read.
-func (x *index) convert(from *ini.Section, line int) *Section {
-	kind, name, _ := strings.Cut(from.Name(), " ")
-	s := &Section{File: x.file, Header: from.Name(), Kind: kind, Name: strings.TrimSpace(name), Line: line}
-	for _, key := range from.Keys() {
-		at := x.lines[place{section: from.Name(), key: key.Name()}]
-		s.Entries = append(s.Entries, Entry{Key: key.Name(), Value: key.Value(), Line: at})
+func (x *index) convert(from *ini.Section, lines *sectionLines) *Section {
+	kind, name, _ := strings.Cut(lines.name, " ")
+	s := &Section{File: x.file, Header: lines.name, Kind: kind, Name: name, Line: lines.header}
+	for _, k := range lines.keys {
+		entry := Entry{Key: k.key, Value: from.Key(k.key).Value(), Line: k.line}
+		s.Entries = append(s.Entries, entry)
 	}
 	return s
 }
--- a/config/source/index.go
+++ b/config/source/index.go
@@ -10,12 +10,33 @@
 // keyDelimiter separates a key from its value.
 const keyDelimiter = "="
 
+// maxKeys bounds the keys of one section, which are searched one by one.
+const maxKeys = 256
+
 // byteOrderMark may precede UTF-8 text.
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
-// place is a section and a key within it; the key is empty for the section itself.
-type place struct {
-	section, key string
+// sectionLines holds the line of a section's header and of each of its keys.
+type sectionLines struct {
+	name   string
+	header int
+	keys   []keyLine
+}
+
+// keyLine is the line of one key.
+type keyLine struct {
+	key  string
+	line int
+}
+
+// find returns the line of a key, or 0.
+func (s *sectionLines) find(key string) int {
+	for _, k := range s.keys {
+		if k.key == key {
+			return k.line
+		}
+	}
+	return 0
 }
 
 // scanState says where in the text a scan is.
@@ -33,10 +54,10 @@
 // index holds the line of each section and key of an INI text.
 type index struct {
 	file     string
-	lines    map[place]int
+	sections map[string]*sectionLines
 	problems []Problem
-	// section is the section that the scan is in.
-	section string
+	// section is the section that the scan is in; nil while none is valid.
+	section *sectionLines
 	state   scanState
 }
 
@@ -75,7 +96,7 @@
 }
 
 func (x *index) scanSection(number int, text string) bool {
-	x.section = ""
+	x.section = nil
 	x.state = inFaultySection
 	end := strings.LastIndexByte(text, ']')
 	if end < 0 {
@@ -89,14 +110,14 @@
 	if plain != name {
 		return x.reject(number, "", "surplus spaces: write the section as [%s]", plain)
 	}
-	x.section = name
 	x.state = inSection
-	at := place{section: name}
-	if first, found := x.lines[at]; found {
-		x.reject(number, "", "the section is already at line %d", first)
+	if first, found := x.sections[name]; found {
+		x.section = first
+		x.reject(number, "", "the section is already at line %d", first.header)
 		return true // Its keys are checked as part of the first section.
 	}
-	x.lines[at] = number
+	x.section = &sectionLines{name: name, header: number}
+	x.sections[name] = x.section
 	return true
 }
 
@@ -117,10 +138,12 @@
 	case strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`"):
 		return x.reject(number, key, "multi-line quotes are not supported")
 	}
-	at := place{section: x.section, key: key}
-	if first, found := x.lines[at]; found {
+	if first := x.section.find(key); first > 0 {
 		return x.reject(number, key, "the key is already at line %d", first)
 	}
-	x.lines[at] = number
+	if len(x.section.keys) == maxKeys {
+		return x.reject(number, key, "the section has more than %d keys", maxKeys)
+	}
+	x.section.keys = append(x.section.keys, keyLine{key: key, line: number})
 	return true
 }
