fleet: membership, homes and the spread of configuration

Cause: the nodes must act together without a consensus group. Three nodes of a region watch the store, all together poll it once a second, the rest learn from peers; a version is never replaced by a lower one, and a joining node wants three answers or the store.

--- a/fleet/assign.go
+++ b/fleet/assign.go
@@ -33,20 +33,19 @@
 	if len(members) == 0 {
 		return out
 	}
+	ranker := newRanker(members)
 	bound := loadBound(loads, len(members))
 	carried := make(map[string]int, len(members))
 	for _, l := range inHashOrder(loads) {
-		ranks := RankTop(l.Name, members, Successors)
-		i := slices.IndexFunc(ranks, func(m Member) bool {
+		fits := func(m Member) bool {
 			c := carried[m.Name()]
 			return c == 0 || c+l.Weight <= bound
-		})
+		}
+		ranks := ranker.top(l.Name, Successors)
+		i := slices.IndexFunc(ranks, fits)
 		if i < 0 {
-			ranks = Rank(l.Name, members)
-			i = max(0, slices.IndexFunc(ranks, func(m Member) bool {
-				c := carried[m.Name()]
-				return c == 0 || c+l.Weight <= bound
-			}))
+			ranks = ranker.top(l.Name, len(members))
+			i = max(0, slices.IndexFunc(ranks, fits))
 		}
 		out[l.Name] = promote(ranks, i)
 		carried[ranks[i].Name()] += l.Weight
--- /dev/null
+++ b/fleet/build.go
@@ -0,0 +1,40 @@
+package fleet
+
+import "maps"
+
+// buildView computes homes from the present members and configuration.
+func (a *Agent) buildView() {
+	a.builtChanges = a.table.changes
+	members := a.table.inState(StateAlive, StateSuspect)
+	if len(members) == 0 {
+		// A lone node that is leaving still serves what reaches it.
+		members = []Member{a.self}
+	}
+	a.view.Store(&View{
+		Self:    a.self.Name(),
+		Members: members,
+		Version: a.inForce.Load().document.Version,
+		homes:   Assign(a.loads, members),
+		avoided: a.avoided(),
+		ranker:  newRanker(members),
+	})
+}
+
+// refreshAvoided publishes a change of the avoided members only.
+func (a *Agent) refreshAvoided() {
+	v := *a.view.Load()
+	v.avoided = a.avoided()
+	a.view.Store(&v)
+}
+
+// avoided returns the members that are tried last: those that did not respond
+// to this node, and those that several members could not reach.
+func (a *Agent) avoided() map[string]bool {
+	out := a.observations.avoided()
+	suspects := make(map[string]bool)
+	for _, m := range a.table.inState(StateSuspect) {
+		suspects[m.Name()] = true
+	}
+	maps.Copy(out, suspects)
+	return out
+}
--- /dev/null
+++ b/fleet/join.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/fleet/control"
+	"filbertmill.example/platform"
+)
+
+const (
+	// joinContacts is the number of nodes asked in one attempt to join.
+	joinContacts = 5
+	// joinQuorum is the number of peers that must answer, unless the fleet is
+	// smaller or the store answers. One peer alone may have been cut off for
+	// long and hold an old configuration.
+	joinQuorum   = 3
+	joinTimeout  = 2 * time.Second
+	storeTimeout = 3 * time.Second
+)
+
+// joinResult is what one attempt to join found.
+type joinResult struct {
+	asked     int
+	answers   []exchange
+	document  *parsed
+	storeErr  error
+	storeSeen bool
+}
+
+// startJoin asks some nodes, and the store if none of them has a configuration.
+func (a *Agent) startJoin() {
+	contacts := a.contacts()
+	own := a.ownExchange()
+	seed := a.rng.Uint64()
+	a.spawn(func(ctx context.Context) {
+		contacts = append(contacts, a.listedHosts(ctx)...)
+		r := a.askAround(ctx, own, pickContacts(contacts, a.cfg.Self.Name, seed))
+		a.post(func(now time.Time) { a.finishJoin(r, now) })
+	})
+}
+
+// contacts returns the nodes known from settings and from other nodes.
+func (a *Agent) contacts() []control.Peer {
+	out := append([]control.Peer(nil), a.cfg.Seeds...)
+	for _, m := range a.table.inState(StateAlive, StateSuspect) {
+		out = append(out, m.Peer)
+	}
+	return out
+}
+
+func (a *Agent) listedHosts(ctx context.Context) []control.Peer {
+	if a.cfg.Hosts == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	hosts, err := a.cfg.Hosts.Hosts(ctx)
+	if err != nil {
+		return nil
+	}
+	out := make([]control.Peer, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, peerOf(h))
+	}
+	return out
+}
+
+// askAround exchanges with the contacts and fetches the newest configuration.
+func (a *Agent) askAround(ctx context.Context, own exchange, contacts []control.Peer) joinResult {
+	r := joinResult{asked: len(contacts)}
+	var mu sync.Mutex
+	var newest exchange
+	var wg sync.WaitGroup
+	for _, p := range contacts {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+			defer cancel()
+			var theirs exchange
+			if a.cfg.Transport.Call(ctx, p, kindExchange, own, &theirs) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			r.answers = append(r.answers, theirs)
+			if theirs.InForce.Newer(newest.InForce) {
+				newest = theirs
+			}
+		})
+	}
+	wg.Wait()
+	if newest.InForce.Revision > 0 {
+		if p, err := a.fetchDocument(ctx, newest.Self.Peer); err == nil {
+			r.document = &p
+		}
+	}
+	if r.document == nil || len(r.answers) < r.needed() {
+		a.askStore(ctx, &r)
+	}
+	return r
+}
+
+// needed returns the number of peers that must answer.
+func (r joinResult) needed() int {
+	known := 1
+	for _, e := range r.answers {
+		known = max(known, e.Others+1)
+	}
+	return min(known, joinQuorum)
+}
+
+// askStore reads the store and keeps the newer document.
+func (a *Agent) askStore(ctx context.Context, r *joinResult) {
+	p, err := a.readStore(ctx)
+	r.storeErr = err
+	r.storeSeen = err == nil
+	if p != nil && (r.document == nil || p.document.Version.Newer(r.document.document.Version)) {
+		r.document = p
+	}
+}
+
+// readStore returns the store's newest configuration, nil if it has none.
+func (a *Agent) readStore(ctx context.Context) (*parsed, error) {
+	if a.cfg.Store == nil {
+		return nil, errors.New("no store in the settings")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	e, err := a.cfg.Store.Get(ctx, ConfigurationKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	d, err := DecodeDocument(e.Value)
+	if err != nil {
+		return nil, err
+	}
+	p := a.parse(d)
+	return &p, nil
+}
+
+// finishJoin takes in what an attempt found and decides whether the node has joined.
+func (a *Agent) finishJoin(r joinResult, now time.Time) {
+	if a.joined {
+		return
+	}
+	for _, e := range r.answers {
+		a.merge(e, now)
+		a.pullFrom(e.Self.Peer, buckets)
+	}
+	if len(r.answers) > 0 {
+		a.lastContact = now
+	}
+	a.joinProblem = a.joinObstacle(r, now)
+	if a.joinProblem == "" {
+		a.joined = true
+		a.fetchBest()
+	}
+}
+
+// joinObstacle returns why the node has not joined, empty if it has.
+func (a *Agent) joinObstacle(r joinResult, now time.Time) string {
+	if len(r.answers) == 0 && !r.storeSeen {
+		return fmt.Sprintf("neither a peer nor the store can be reached: %d peers asked; store: %v", r.asked, r.storeErr)
+	}
+	if len(r.answers) < r.needed() && !r.storeSeen {
+		return fmt.Sprintf("%d of %d peers needed have answered; store: %v", len(r.answers), r.needed(), r.storeErr)
+	}
+	if r.document != nil {
+		a.consider(*r.document, "join", now)
+	}
+	current := a.inForce.Load().document.Version
+	if a.highest.Newer(current) && !a.rejected[a.highest] {
+		return "revision " + a.highest.String() + " exists, but no node that answers has it"
+	}
+	return ""
+}
+
+// updateReadiness publishes whether the node may serve.
+func (a *Agent) updateReadiness() {
+	r := Readiness{Ready: true}
+	switch {
+	case !a.joined && a.joinProblem != "":
+		r = Readiness{Reason: a.joinProblem}
+	case !a.joined:
+		r = Readiness{Reason: "joining the fleet"}
+	case a.inForce.Load().parsed == nil:
+		r = Readiness{Reason: "no configuration in force"}
+	case a.catchingUp:
+		r = Readiness{Reason: "catching up after a pause"}
+	case a.self.State == StateLeaving:
+		r = Readiness{Reason: "leaving"}
+	}
+	if r != *a.ready.Load() {
+		a.ready.Store(&r)
+	}
+}
+
+// pickContacts chooses some distinct nodes other than self.
+func pickContacts(from []control.Peer, self string, seed uint64) []control.Peer {
+	byName := make(map[string]bool)
+	var members []Member
+	for _, p := range from {
+		if p.Name != self && !byName[p.Name] {
+			byName[p.Name] = true
+			members = append(members, Member{Peer: p})
+		}
+	}
+	var out []control.Peer
+	for _, m := range sample(newRand(seed), self, members, joinContacts) {
+		out = append(out, m.Peer)
+	}
+	return out
+}
+
+func peerOf(h platform.Host) control.Peer {
+	return control.Peer{
+		Name:             h.Name,
+		AvailabilityZone: h.AvailabilityZone,
+		Region:           h.Region,
+		PeerAddress:      h.PeerAddress,
+		ControlAddress:   h.ControlAddress,
+	}
+}
--- a/fleet/rank.go
+++ b/fleet/rank.go
@@ -7,41 +7,49 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// ranked is a member with its rendezvous score for one service.
-type ranked struct {
-	member Member
-	score  uint64
-}
-
 // Rank orders the members by rendezvous hashing of the service's name: the
 // first is its home, the others are its successors. Successors from
 // availability zones not used by a better rank come first, so that the loss of
 // a zone leaves the next rank standing. The order of members does not matter;
 // removing a member changes the ranks of the others only where zones demand it.
 func Rank(service string, members []Member) []Member {
-	all := scored(service, members)
-	slices.SortFunc(all, compareRanked)
-	return spreadZones(all)
+	return newRanker(members).top(service, len(members))
 }
 
 // RankTop returns the first n members of Rank without sorting the rest.
 func RankTop(service string, members []Member, n int) []Member {
-	if n >= len(members) {
-		return Rank(service, members)
-	}
-	if n <= 0 {
-		return nil
-	}
-	return topSpread(scored(service, members), n)
+	return newRanker(members).top(service, n)
 }
 
-func scored(service string, members []Member) []ranked {
-	key := xxhash.Sum64String(service)
-	all := make([]ranked, len(members))
-	for i, m := range members {
-		all[i] = ranked{member: m, score: mix(key ^ xxhash.Sum64String(m.Name()))}
+// ranker ranks one set of members for many services.
+type ranker struct {
+	members []Member
+	hashes  []uint64
+	zones   []int
+	zoneCnt int
+}
+
+// score is a member's rendezvous score for one service.
+type score struct {
+	value uint64
+	index int
+}
+
+func newRanker(members []Member) *ranker {
+	r := &ranker{members: members, hashes: make([]uint64, len(members)), zones: make([]int, len(members))}
+	ids := make(map[string]int)
+	for i := range members {
+		r.hashes[i] = xxhash.Sum64String(members[i].Name())
+		zone := members[i].Peer.AvailabilityZone
+		id, ok := ids[zone]
+		if !ok {
+			id = len(ids)
+			ids[zone] = id
+		}
+		r.zones[i] = id
 	}
-	return all
+	r.zoneCnt = len(ids)
+	return r
 }
 
 // mix spreads the combined hash over all bits (the finalizer of MurmurHash3).
@@ -53,52 +61,59 @@
 	return x ^ x>>33
 }
 
-func compareRanked(a, b ranked) int {
-	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name(), b.member.Name()))
-}
-
-// spreadZones takes members sorted by score and reorders them in passes: each
-// pass takes the best remaining member of each availability zone.
-func spreadZones(sorted []ranked) []Member {
-	out := make([]Member, 0, len(sorted))
-	taken := make([]bool, len(sorted))
-	for len(out) < len(sorted) {
-		used := make(map[string]bool)
-		for i, r := range sorted {
-			zone := r.member.Peer.AvailabilityZone
-			if taken[i] || used[zone] {
-				continue
-			}
-			taken[i] = true
-			used[zone] = true
-			out = append(out, r.member)
-		}
+// compare orders scores, best first.
+func (r *ranker) compare(a, b score) int {
+	if a.value != b.value {
+		return cmp.Compare(b.value, a.value)
 	}
-	return out
+	return cmp.Compare(r.members[a.index].Peer.Name, r.members[b.index].Peer.Name)
 }
 
-// topSpread returns the first n of spreadZones. Per zone no more than n
-// members can be among them.
-func topSpread(all []ranked, n int) []Member {
-	best := make(map[string][]ranked)
-	for _, r := range all {
-		zone := r.member.Peer.AvailabilityZone
-		best[zone] = insertBest(best[zone], r, n)
+// top returns the first n ranks. Each availability zone has a place before any
+// has two, which bounds the members of one zone that can be among them.
+func (r *ranker) top(service string, n int) []Member {
+	n = min(n, len(r.members))
+	if n <= 0 {
+		return nil
 	}
-	var few []ranked
-	for _, zone := range best {
-		few = append(few, zone...)
+	key := xxhash.Sum64String(service)
+	best := make([][]score, r.zoneCnt)
+	perZone := max(1, n-r.zoneCnt+1)
+	for i, h := range r.hashes {
+		zone, value := r.zones[i], mix(key^h)
+		if top := best[zone]; len(top) == perZone && value < top[perZone-1].value {
+			continue
+		}
+		best[zone] = r.insertBest(best[zone], score{value: value, index: i}, perZone)
 	}
-	slices.SortFunc(few, compareRanked)
-	return spreadZones(few)[:n]
+	return r.takePasses(best, n)
 }
 
-// insertBest keeps the n best members in order.
-func insertBest(top []ranked, r ranked, n int) []ranked {
-	if len(top) == n && compareRanked(top[n-1], r) <= 0 {
+// insertBest keeps the n best scores in order.
+func (r *ranker) insertBest(top []score, s score, n int) []score {
+	if len(top) == n && r.compare(top[n-1], s) <= 0 {
 		return top
 	}
-	i, _ := slices.BinarySearchFunc(top, r, compareRanked)
-	top = slices.Insert(top, i, r)
+	i, _ := slices.BinarySearchFunc(top, s, r.compare)
+	top = slices.Insert(top, i, s)
 	return top[:min(len(top), n)]
 }
+
+// takePasses takes the best remaining member of each zone, the best zone
+// first, and again, until there are n.
+func (r *ranker) takePasses(best [][]score, n int) []Member {
+	out := make([]Member, 0, n)
+	for pass := 0; len(out) < n; pass++ {
+		var round []score
+		for _, zone := range best {
+			if pass < len(zone) {
+				round = append(round, zone[pass])
+			}
+		}
+		slices.SortFunc(round, r.compare)
+		for _, s := range round[:min(len(round), n-len(out))] {
+			out = append(out, r.members[s.index])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/timing.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const commandBuffer = 256
+
+// Timing holds the intervals of an Agent.
+type Timing struct {
+	// Tick is how often the control goroutine looks at what is due.
+	Tick time.Duration
+	// Exchange is the interval of exchanges with one partner after another.
+	Exchange time.Duration
+	// ExchangeTimeout bounds one exchange or probe.
+	ExchangeTimeout time.Duration
+	// Suspicion is how long a suspected member may refute.
+	Suspicion time.Duration
+	// AntiEntropy is the interval of comparing whole tables with a partner.
+	AntiEntropy time.Duration
+	// Rotation is how long random partners are kept.
+	Rotation time.Duration
+	// Reconnect is the interval of trying one member that is believed gone.
+	Reconnect time.Duration
+	// HostList is the interval at which a watching node reads the host list.
+	HostList time.Duration
+	// StorePoll is the interval at which the fleet as a whole reads the store
+	// besides the watches; each node's share shrinks as the fleet grows.
+	StorePoll time.Duration
+	// Join is the first interval of attempts to join; it doubles.
+	Join time.Duration
+	// Pause is the gap between two looks at the clock after which the node
+	// takes itself to have been paused.
+	Pause time.Duration
+}
+
+// DefaultTiming returns the intervals that nodes use.
+func DefaultTiming() Timing {
+	return Timing{
+		Tick:            100 * time.Millisecond,
+		Exchange:        500 * time.Millisecond,
+		ExchangeTimeout: time.Second,
+		Suspicion:       3 * time.Second,
+		AntiEntropy:     5 * time.Second,
+		Rotation:        10 * time.Second,
+		Reconnect:       5 * time.Second,
+		HostList:        10 * time.Second,
+		StorePoll:       time.Second,
+		Join:            time.Second,
+		Pause:           3 * time.Second,
+	}
+}
+
+// maxJoin bounds the interval of attempts to join.
+const maxJoin = 10 * time.Second
+
+// jitter returns a duration between half and one and a half of d.
+func jitter(rng *rand.Rand, d time.Duration) time.Duration {
+	return d/2 + time.Duration(rng.Int64N(int64(d)+1))
+}
+
+// schedule holds when each periodic action is due next.
+type schedule struct {
+	exchange    time.Time
+	antiEntropy time.Time
+	rotation    time.Time
+	reconnect   time.Time
+	hostList    time.Time
+	storePoll   time.Time
+	join        time.Time
+	joinWait    time.Duration
+}
+
+func (a *Agent) startSchedule(now time.Time) {
+	a.schedule = schedule{
+		exchange:    now.Add(jitter(a.rng, a.timing.Exchange)),
+		antiEntropy: now.Add(jitter(a.rng, a.timing.AntiEntropy)),
+		rotation:    now,
+		reconnect:   now.Add(jitter(a.rng, a.timing.Reconnect)),
+		hostList:    now,
+		storePoll:   now.Add(a.pollInterval()),
+		join:        now,
+		joinWait:    a.timing.Join,
+	}
+}
+
+// due reports whether an action is due and sets its next time.
+func due(now time.Time, next *time.Time, interval time.Duration) bool {
+	if now.Before(*next) {
+		return false
+	}
+	*next = now.Add(interval)
+	return true
+}
+
+// tick does what is due.
+func (a *Agent) tick(now time.Time) {
+	s, t := &a.schedule, a.timing
+	if !a.joined && due(now, &s.join, jitter(a.rng, s.joinWait)) {
+		s.joinWait = min(2*s.joinWait, maxJoin)
+		a.startJoin()
+	}
+	if due(now, &s.rotation, jitter(a.rng, t.Rotation)) {
+		a.random = sample(a.rng, a.self.Name(), a.table.inState(StateAlive), randomPartners)
+		a.table.forget(now)
+	}
+	if due(now, &s.exchange, jitter(a.rng, t.Exchange)) {
+		a.exchangeWithNext()
+	}
+	if due(now, &s.antiEntropy, jitter(a.rng, t.AntiEntropy)) {
+		a.compareTables()
+	}
+	if due(now, &s.reconnect, jitter(a.rng, t.Reconnect)) {
+		a.tryGone()
+	}
+	if due(now, &s.storePoll, a.pollInterval()) {
+		a.pollStore()
+	}
+	a.judgeSuspects(now)
+	a.recheckAvoided(now)
+	if a.table.changes != a.builtChanges {
+		a.buildView()
+	}
+	a.superviseWatch(now)
+}
