node: membership, homes and configuration by the fleet agent

Cause: nodes knew only the seeds of their settings and one file. Change: the node runs a fleet agent on its control listener; homes come from its view, a configuration from peers or the store, readiness waits for one. A guarded hop asks the home over the control connection while it waits and goes to the next rank if a request may be sent again. A node that drains says so.

--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -65,6 +65,7 @@
 	commands chan func(now time.Time)
 	ended    chan struct{}
 	tasks    sync.WaitGroup
+	pinger   pinger
 	view     atomic.Pointer[View]
 	inForce  atomic.Pointer[configuration]
 	ready    atomic.Pointer[Readiness]
@@ -78,6 +79,7 @@
 	loads        []Load
 	highest      Version
 	joined       bool
+	introduced   bool
 	joinProblem  string
 	epoch        int
 	schedule     schedule
@@ -140,8 +142,7 @@
 	a.ctx = ctx
 	now := time.Now()
 	if a.cfg.Initial != nil {
-		a.joined = true
-		a.consider(a.parse(*a.cfg.Initial), "settings", now)
+		a.startFromSettings(now)
 	}
 	a.startSchedule(now)
 	ticker := time.NewTicker(a.timing.Tick)
@@ -162,6 +163,16 @@
 	}
 }
 
+// startFromSettings takes the configuration and the seeds of the settings for
+// good until something newer is heard.
+func (a *Agent) startFromSettings(now time.Time) {
+	a.joined = true
+	for _, p := range a.cfg.Seeds {
+		a.learn(Member{Peer: p}, now)
+	}
+	a.consider(a.parse(*a.cfg.Initial), "settings", now)
+}
+
 // View returns what the node believes now.
 func (a *Agent) View() *View { return a.view.Load() }
 
--- a/fleet/join.go
+++ b/fleet/join.go
@@ -147,16 +147,17 @@
 
 // finishJoin takes in what an attempt found and decides whether the node has joined.
 func (a *Agent) finishJoin(r joinResult, now time.Time) {
-	if a.joined {
-		return
-	}
 	for _, e := range r.answers {
 		a.merge(e, now)
 		a.pullFrom(e.Self.Peer, buckets)
 	}
 	if len(r.answers) > 0 {
+		a.introduced = true
 		a.lastContact = now
 	}
+	if a.joined {
+		return
+	}
 	a.joinProblem = a.joinObstacle(r, now)
 	if a.joinProblem == "" {
 		a.joined = true
--- a/fleet/timing.go
+++ b/fleet/timing.go
@@ -97,7 +97,7 @@
 // tick does what is due.
 func (a *Agent) tick(now time.Time) {
 	s, t := &a.schedule, a.timing
-	if !a.joined && due(now, &s.join, jitter(a.rng, s.joinWait)) {
+	if !(a.joined && a.introduced) && due(now, &s.join, jitter(a.rng, s.joinWait)) {
 		s.joinWait = min(2*s.joinWait, maxJoin)
 		a.startJoin()
 	}
--- a/node/admin.go
+++ b/node/admin.go
@@ -20,22 +20,27 @@
 
 // adminRoutes adds what operators and the balancer may ask.
 func (n *Node) adminRoutes(e *server.Hertz) {
-	n.stats.publish()
+	n.stats.publish(func() any { return n.membership.transport.Counters() })
 	e.GET("/livez", func(_ context.Context, ctx *app.RequestContext) {
 		ctx.JSON(http.StatusOK, readiness{Ready: n.ready.Load()})
 	})
 	e.GET("/readyz", n.handleReady)
 	e.GET("/pools", n.handlePools)
+	e.GET("/status", n.handleStatus)
+	e.GET("/revision", n.handleRevision)
 	e.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 }
 
 // handleReady tells the balancer whether to send requests here.
 func (n *Node) handleReady(_ context.Context, ctx *app.RequestContext) {
+	fleet := n.membership.agent.Ready()
 	switch {
 	case n.draining.Load():
 		ctx.JSON(http.StatusServiceUnavailable, readiness{Reason: "draining"})
 	case !n.ready.Load():
 		ctx.JSON(http.StatusServiceUnavailable, readiness{Reason: "starting"})
+	case !fleet.Ready:
+		ctx.JSON(http.StatusServiceUnavailable, readiness{Reason: fleet.Reason})
 	default:
 		ctx.JSON(http.StatusOK, readiness{Ready: true})
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
@@ -34,6 +35,10 @@
 		if !next {
 			return res
 		}
+		if res.settle != nil {
+			res.settle(nil)
+			res.settle = nil
+		}
 		last = res
 		n.Emit(event.Event{
 			Time: time.Now(), Kind: event.KindFailover, Service: r.service.Name, Request: r.id,
@@ -48,7 +53,8 @@
 func (n *Node) forward(ctx context.Context, r *request, m fleet.Member) (result, bool) {
 	out := r.copyOnward()
 	n.sign(out, r)
-	ans, f := n.client.Do(ctx, exchange.Call{
+	hop, release := n.guardHome(ctx, r, m)
+	ans, f := n.client.Do(hop, exchange.Call{
 		Address:          m.Peer.PeerAddress,
 		Request:          out,
 		Fresh:            !r.idempotent,
@@ -62,16 +68,20 @@
 		}
 	}
 	if f != nil {
-		return n.forwardFailed(ctx, r, m, f)
+		defer release()
+		return n.forwardFailed(ctx, hop, r, m, f)
 	}
-	res := hopResult(ans, body)
+	res := hopResult(ans, body, release)
 	again := res.outcome.Reason == outcome.ReasonShutdown && r.body.replayable()
 	return res, again
 }
 
 // forwardFailed says what became of a request whose hop to the home failed.
-func (n *Node) forwardFailed(ctx context.Context, r *request, m fleet.Member, f *exchange.Failure) (result, bool) {
+func (n *Node) forwardFailed(ctx, hop context.Context, r *request, m fleet.Member, f *exchange.Failure) (result, bool) {
 	switch {
+	case errors.Is(context.Cause(hop), errHomeUnresponsive):
+		n.suspect(m.Name())
+		return refused(outcome.ReasonHomeLost, errHomeUnresponsive.Error()), r.resendable()
 	case f.Cause == exchange.CauseCancelled || f.Cause == exchange.CauseRequestBody:
 		return refused(outcome.ReasonCallerLeft, f.Error()), false
 	case f.NotSent() && ctx.Err() == nil:
@@ -87,14 +97,14 @@
 }
 
 // hopResult reads the answer of a home.
-func hopResult(ans *exchange.Answer, body *answerBody) result {
+func hopResult(ans *exchange.Answer, body *answerBody, release context.CancelFunc) result {
 	h := &ans.Response.Header
 	o, _ := outcome.Parse(
 		string(h.Peek(outcome.Header)),
 		string(h.Peek(outcome.ReasonHeader)),
 		string(h.Peek(headerRetryAfter)),
 	)
-	res := result{outcome: o, settle: func(error) { _ = ans.Body.Close() }}
+	res := result{outcome: o, settle: func(error) { _ = ans.Body.Close(); release() }}
 	if o.Kind == outcome.Run {
 		res.response = ans.Response
 		res.body = body
--- /dev/null
+++ b/node/membership.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/config/static"
+	"filbertmill.example/fleet"
+	"filbertmill.example/fleet/control"
+	"filbertmill.example/platform"
+	"filbertmill.example/platform/httpstore"
+)
+
+// leaveTimeout bounds how long the announcement of a departure may take.
+const leaveTimeout = 2 * time.Second
+
+// membership is the node's part in the fleet.
+type membership struct {
+	agent     *fleet.Agent
+	transport *control.Transport
+	listener  net.Listener
+}
+
+// newMembership opens the control listener and returns the node's part in the
+// fleet, which run starts.
+func newMembership(n *Node, initial *fleet.Document) (*membership, error) {
+	s := n.settings
+	t, err := control.New(control.Config{Name: s.Name, Key: []byte(s.SharedKey), Seed: seedOf(s.Name)})
+	if err != nil {
+		return nil, err
+	}
+	m := &membership{transport: t}
+	if m.listener, err = net.Listen("tcp", s.ControlAddress); err != nil {
+		return nil, errors.Wrap(err, "listen for control messages")
+	}
+	cfg := fleet.Config{
+		Self: control.Peer{
+			Name: s.Name, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+			PeerAddress: s.PeerAddress, ControlAddress: m.listener.Addr().String(),
+		},
+		Seeds:     seedPeers(s),
+		Transport: t,
+		Initial:   initial,
+		Parse:     parseDocument,
+		Apply:     n.applyConfig,
+		Loads:     serviceLoads,
+		Events:    n,
+		Seed:      seedOf(s.Name),
+	}
+	if cfg.Store, cfg.Hosts, err = platformClients(s); err != nil {
+		m.close()
+		return nil, err
+	}
+	m.agent = fleet.NewAgent(cfg, time.Now())
+	return m, nil
+}
+
+// platformClients returns the clients of the services in the settings, nil for
+// those that are not set.
+func platformClients(s *static.Settings) (platform.Store, platform.HostList, error) {
+	var store platform.Store
+	var hosts platform.HostList
+	if s.StoreURL != "" {
+		c, err := httpstore.NewClient(s.StoreURL)
+		if err != nil {
+			return nil, nil, err
+		}
+		store = c
+	}
+	if s.HostListURL != "" {
+		c, err := httpstore.NewClient(s.HostListURL)
+		if err != nil {
+			return nil, nil, err
+		}
+		hosts = c
+	}
+	return store, hosts, nil
+}
+
+func seedPeers(s *static.Settings) []control.Peer {
+	out := make([]control.Peer, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		out = append(out, control.Peer{
+			Name: seed.Name, AvailabilityZone: seed.AvailabilityZone,
+			PeerAddress: seed.PeerAddress, ControlAddress: seed.ControlAddress,
+		})
+	}
+	return out
+}
+
+// run takes part in the fleet until the context ends.
+func (m *membership) run(ctx context.Context) error {
+	served := make(chan error, 1)
+	go func() { served <- m.transport.Serve(m.listener) }()
+	m.agent.Run(ctx)
+	m.close()
+	return <-served
+}
+
+// leave tells the fleet that the node is going away.
+func (m *membership) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	m.agent.Leave(ctx)
+}
+
+func (m *membership) close() {
+	_ = m.transport.Close()
+	_ = m.listener.Close()
+}
+
+// homes returns the nodes to try for a service, in order.
+func (n *Node) homes(service string) []fleet.Member {
+	ranks := n.membership.agent.View().Homes(service)
+	return ranks[:min(len(ranks), maxHomes)]
+}
+
+// suspect records that a node could not be reached, so that this node tries
+// others first.
+func (n *Node) suspect(name string) { n.membership.agent.Unresponsive(name) }
+
+// seedOf derives the seed of a node's random choices from its name.
+func seedOf(name string) uint64 { return xxhash.Sum64String(name) }
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -18,17 +17,17 @@
 
 // Node is one process of the fleet.
 type Node struct {
-	settings *static.Settings
-	log      hclog.Logger
-	client   *exchange.Client
-	control  *controlLoop
-	routes   atomic.Pointer[routeTable]
-	members  *memberList
-	stats    *stats
-	lastID   atomic.Uint64
-	inFlight atomic.Int64
-	draining atomic.Bool
-	ready    atomic.Bool
+	settings   *static.Settings
+	log        hclog.Logger
+	client     *exchange.Client
+	control    *controlLoop
+	routes     atomic.Pointer[routeTable]
+	membership *membership
+	stats      *stats
+	lastID     atomic.Uint64
+	inFlight   atomic.Int64
+	draining   atomic.Bool
+	ready      atomic.Bool
 
 	callers *listener
 	peers   *listener
@@ -44,13 +43,17 @@
 		client:   exchange.NewClient(exchange.Options{Name: settings.Name}),
 		stats:    newStats(),
 	}
-	n.members = newMemberList(settings)
 	n.control = newControlLoop(n, seedOf(settings.Name))
+	n.routes.Store(newRouteTable(&dynamic.Config{}))
+	var err error
+	if n.membership, err = newMembership(n, initialDocument(cfg)); err != nil {
+		return nil, err
+	}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
+		n.membership.close()
 		return nil, err
 	}
-	n.applyConfig(cfg)
 	return n, nil
 }
 
@@ -82,10 +85,6 @@
 func (n *Node) applyConfig(cfg *dynamic.Config) {
 	n.routes.Store(newRouteTable(cfg))
 	n.control.send(configCommand{config: cfg})
-	n.Emit(event.Event{
-		Time: time.Now(), Kind: event.KindConfiguration, Rule: "applied",
-		Evidence: event.Evidence{Revision: int64(cfg.Revision)},
-	})
 }
 
 // Run serves until the context ends, then drains. It returns once nothing is
@@ -94,8 +93,11 @@
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	go n.control.run(controlCtx)
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var serving sync.WaitGroup
+	fleetCtx, stopFleet := context.WithCancel(context.Background())
+	defer stopFleet()
+	serving.Go(func() { failed <- n.membership.run(fleetCtx) })
 	for _, l := range []*listener{n.callers, n.peers, n.admin} {
 		serving.Go(func() { failed <- l.engine.Run() })
 	}
--- a/node/stats.go
+++ b/node/stats.go
@@ -28,11 +28,12 @@
 var publishOnce sync.Once
 
 // publish makes the counters readable by expvar; the first node of a process does.
-func (s *stats) publish() {
+func (s *stats) publish(control expvar.Func) {
 	publishOnce.Do(func() {
 		expvar.Publish("answers_by_reason", s.answers)
 		expvar.Publish("peer_answers_by_reason", s.peers)
 		expvar.Publish("events_by_kind", s.events)
+		expvar.Publish("control", control)
 	})
 }
 
