--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -24,6 +24,8 @@
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node until it is told to stop"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"report every problem in settings or configuration files"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run three nodes and stand-in targets in one process"`
+	Config  *configCommand  `arg:"subcommand:config" help:"read and change the fleet configuration in the store"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show members, homes, revisions in force and laggards"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
