Merge the fleet's membership; reports ask all members

The reports use the membership's control connections and its list of members, suspected and leaving ones included, so that a node that stopped answering is named until the fleet takes it as gone.

--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -26,6 +26,8 @@
 	Explain *explainCommand `arg:"subcommand:explain" help:"say why the fleet took its decisions on a target, a request or a service"`
 	Report  *reportCommand  `arg:"subcommand:report" help:"print a report on the fleet"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run three nodes and stand-in targets in one process"`
+	Config  *configCommand  `arg:"subcommand:config" help:"read and change the fleet configuration in the store"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show members, homes, revisions in force and laggards"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/node/ask.go
+++ b/node/ask.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"filbertmill.example/fleet/control"
 )
 
@@ -19,14 +17,6 @@
 	askAtOnce = 16
 )
 
-// errNoControl means that this node has no control connections.
-var errNoControl = errors.New("this node has no control connections")
-
-// asker asks another node and waits for its reply; control.Transport is one.
-type asker interface {
-	Call(ctx context.Context, to control.Peer, kind control.Kind, msg, reply any) error
-}
-
 // silentNode is a node that was asked and did not answer.
 type silentNode struct {
 	name string
@@ -70,21 +60,18 @@
 	return answers, silent
 }
 
-// call asks one peer; it fails if this node has no control connections.
-func (n *Node) call(ctx context.Context, to control.Peer, kind control.Kind, msg, reply any) error {
-	if n.reports.asker == nil {
-		return errNoControl
+// others returns the members of the fleet besides this node, suspected and
+// leaving ones included.
+func (n *Node) others(ctx context.Context) ([]control.Peer, error) {
+	members, err := n.membership.agent.Members(ctx)
+	if err != nil {
+		return nil, err
 	}
-	return n.reports.asker.Call(ctx, to, kind, msg, reply)
-}
-
-// others returns the members of the fleet besides this node.
-func (n *Node) others() []control.Peer {
 	var peers []control.Peer
-	for _, m := range n.members.members {
+	for _, m := range members {
 		if m.Name() != n.settings.Name {
 			peers = append(peers, m.Peer)
 		}
 	}
-	return peers
+	return peers, nil
 }
--- a/node/burn.go
+++ b/node/burn.go
@@ -64,7 +64,7 @@
 func (n *Node) burnOf(ctx context.Context, to control.Peer, q burn.Query) ([]burn.Snapshot, error) {
 	return collectPages(q, func(q burn.Query) (burn.Snapshot, error) {
 		var s burn.Snapshot
-		err := n.call(ctx, to, kindBurn, q, &s)
+		err := n.membership.transport.Call(ctx, to, kindBurn, q, &s)
 		return s, err
 	})
 }
@@ -86,8 +86,12 @@
 }
 
 // burnReport asks all nodes of the fleet for their counts and judges them.
-func (n *Node) burnReport(ctx context.Context, q burn.Query) *burn.Report {
-	answers, silent := askAll(ctx, n.others(), func(ctx context.Context, to control.Peer) ([]burn.Snapshot, error) {
+func (n *Node) burnReport(ctx context.Context, q burn.Query) (*burn.Report, error) {
+	peers, err := n.others(ctx)
+	if err != nil {
+		return nil, err
+	}
+	answers, silent := askAll(ctx, peers, func(ctx context.Context, to control.Peer) ([]burn.Snapshot, error) {
 		return n.burnOf(ctx, to, q)
 	})
 	own, _ := collectPages(q, func(q burn.Query) (burn.Snapshot, error) { return n.burnHere(q), nil })
@@ -103,7 +107,7 @@
 	for _, s := range silent {
 		report.Silent = append(report.Silent, burn.Silent{Node: s.name, Error: s.err.Error()})
 	}
-	return report
+	return report, nil
 }
 
 // objectives returns the objectives of the named service, or of all.
@@ -119,5 +123,10 @@
 
 // handleBurn answers an operator.
 func (n *Node) handleBurn(c context.Context, ctx *app.RequestContext) {
-	ctx.JSON(http.StatusOK, n.burnReport(c, burn.Query{Service: ctx.Query("service")}))
+	report, err := n.burnReport(c, burn.Query{Service: ctx.Query("service")})
+	if err != nil {
+		refuseReport(ctx, http.StatusServiceUnavailable, err)
+		return
+	}
+	ctx.JSON(http.StatusOK, report)
 }
--- a/node/explain.go
+++ b/node/explain.go
@@ -63,10 +63,14 @@
 }
 
 // explain asks all nodes of the fleet.
-func (n *Node) explain(ctx context.Context, q event.Query) event.Explanation {
-	answers, silent := askAll(ctx, n.others(), func(ctx context.Context, to control.Peer) (event.Answer, error) {
+func (n *Node) explain(ctx context.Context, q event.Query) (event.Explanation, error) {
+	peers, err := n.others(ctx)
+	if err != nil {
+		return event.Explanation{}, err
+	}
+	answers, silent := askAll(ctx, peers, func(ctx context.Context, to control.Peer) (event.Answer, error) {
 		var a event.Answer
-		err := n.call(ctx, to, kindExplain, q, &a)
+		err := n.membership.transport.Call(ctx, to, kindExplain, q, &a)
 		return a, err
 	})
 	answers = append(answers, n.explainHere(q))
@@ -74,17 +78,22 @@
 	for _, s := range silent {
 		missing = append(missing, event.Silent{Node: s.name, Error: s.err.Error()})
 	}
-	return event.Explain(answers, missing, q.Limit)
+	return event.Explain(answers, missing, q.Limit), nil
 }
 
 // handleExplain answers an operator.
 func (n *Node) handleExplain(c context.Context, ctx *app.RequestContext) {
 	q, err := parseQuery(ctx, time.Now())
 	if err != nil {
-		refuseQuery(ctx, err)
+		refuseReport(ctx, http.StatusBadRequest, err)
+		return
+	}
+	x, err := n.explain(c, q)
+	if err != nil {
+		refuseReport(ctx, http.StatusServiceUnavailable, err)
 		return
 	}
-	ctx.JSON(http.StatusOK, n.explain(c, q))
+	ctx.JSON(http.StatusOK, x)
 }
 
 // parseQuery reads the parameters of a question.
--- a/node/node.go
+++ b/node/node.go
@@ -18,25 +18,23 @@
 
 // Node is one process of the fleet.
 type Node struct {
-	settings *static.Settings
-	log      hclog.Logger
-	client   *exchange.Client
-	control  *controlLoop
-	routes   atomic.Pointer[routeTable]
-	members  *memberList
-	stats    *stats
-	reports  *reports
-	inForce  configInForce
-	lastID   atomic.Uint64
-	inFlight atomic.Int64
-	draining atomic.Bool
-	ready    atomic.Bool
+	settings   *static.Settings
+	log        hclog.Logger
+	client     *exchange.Client
+	control    *controlLoop
+	routes     atomic.Pointer[routeTable]
+	membership *membership
+	stats      *stats
+	reports    *reports
+	inForce    configInForce
+	lastID     atomic.Uint64
+	inFlight   atomic.Int64
+	draining   atomic.Bool
+	ready      atomic.Bool
 
 	callers *listener
 	peers   *listener
 	admin   *listener
-	// messages carries control messages.
-	messages *controlServer
 }
 
 // New returns a node that is not yet running. It fails if an address cannot
@@ -50,13 +48,18 @@
 		reports:  newReports(settings.EventRing, time.Now()),
 	}
 	n.inForce.effective = n.applyEffective
-	n.members = newMemberList(settings)
 	n.control = newControlLoop(n, seedOf(settings.Name))
+	n.routes.Store(newRouteTable(&dynamic.Config{}))
+	var err error
+	if n.membership, err = newMembership(n, initialDocument(cfg)); err != nil {
+		return nil, err
+	}
+	n.connectReports(n.membership.transport)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
+		n.membership.close()
 		return nil, err
 	}
-	n.applyConfig(cfg)
 	return n, nil
 }
 
@@ -75,7 +78,7 @@
 		return err
 	}
 	n.adminRoutes(n.admin.engine)
-	return n.listenControl()
+	return nil
 }
 
 // CallerAddress returns the address on which callers are served.
@@ -89,10 +92,6 @@
 	n.retainBurn(cfg)
 	n.routes.Store(newRouteTable(cfg))
 	n.control.send(configCommand{config: cfg})
-	n.Emit(event.Event{
-		Time: time.Now(), Kind: event.KindConfiguration, Rule: "applied",
-		Evidence: event.Evidence{Revision: int64(cfg.Revision)},
-	})
 }
 
 // Run serves until the context ends, then drains. It returns once nothing is
@@ -103,10 +102,12 @@
 	go n.control.run(controlCtx)
 	failed := make(chan error, 4)
 	var serving sync.WaitGroup
+	fleetCtx, stopFleet := context.WithCancel(context.Background())
+	defer stopFleet()
+	serving.Go(func() { failed <- n.membership.run(fleetCtx) })
 	for _, l := range []*listener{n.callers, n.peers, n.admin} {
 		serving.Go(func() { failed <- l.engine.Run() })
 	}
-	serving.Go(func() { failed <- n.messages.run() })
 	n.ready.Store(true)
 	n.log.Info("serving", "callers", n.callers.addr.String(), "peers", n.peers.addr.String(), "admin", n.admin.addr.String())
 	var err error
@@ -141,7 +142,4 @@
 			l.close()
 		}
 	}
-	if n.messages != nil {
-		n.messages.close()
-	}
 }
--- a/node/reports.go
+++ b/node/reports.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -14,9 +13,8 @@
 
 // reports holds what the node remembers for its operators.
 type reports struct {
-	ring  *event.Ring
-	burn  *burn.Recorder
-	asker asker
+	ring *event.Ring
+	burn *burn.Recorder
 }
 
 // newReports returns empty reports that keep the given number of events.
@@ -24,10 +22,8 @@
 	return &reports{ring: event.NewRing(ring), burn: burn.NewRecorder(now)}
 }
 
-// connectReports lets other nodes ask this one and this one ask others. It
-// must be called before the node serves.
+// connectReports lets other nodes ask this one.
 func (n *Node) connectReports(t *control.Transport) {
-	n.reports.asker = t
 	t.Handle(kindExplain, n.answerExplain)
 	t.Handle(kindBurn, n.answerBurn)
 }
@@ -38,11 +34,11 @@
 	e.GET(BurnPath, n.handleBurn)
 }
 
-// badQuery answers a question that can't be understood.
-type badQuery struct {
+// noReport answers a question that can't be understood or answered.
+type noReport struct {
 	Error string `json:"error"`
 }
 
-func refuseQuery(ctx *app.RequestContext, err error) {
-	ctx.JSON(http.StatusBadRequest, badQuery{Error: err.Error()})
+func refuseReport(ctx *app.RequestContext, status int, err error) {
+	ctx.JSON(status, noReport{Error: err.Error()})
 }
