Refusals are explained by the caller's request id

Cause: the Scheduler knows attempts by numbers of its own, and its events have the queue's figures; the node's own event on the same refusal had the caller's id and no figures. Change: the service pool puts the caller's id into the Scheduler's event; the node records a refusal itself only where the Scheduler did not.

--- a/event/sentence.go
+++ b/event/sentence.go
@@ -47,9 +47,9 @@
 	case KindFailover:
 		return e.request() + " went past a node that did not serve it" + e.change()
 	case KindHomeMove:
-		return "the home of " + e.service() + " moved" + e.change()
+		return e.homes() + " moved" + e.change()
 	case KindConfiguration:
-		return fmt.Sprintf("a decision on configuration revision %d was taken", e.Evidence.Revision) + e.change()
+		return "a decision on " + e.configuration() + " was taken" + e.change()
 	case KindPoison:
 		return e.request() + " was judged by its fingerprint" + e.change()
 	default:
@@ -83,6 +83,22 @@
 	return "request " + e.Request + prefixed(" for service ", e.Service)
 }
 
+// homes names what a move of a home concerns.
+func (e Event) homes() string {
+	if e.Service == "" {
+		return "homes"
+	}
+	return "the home of service " + e.Service
+}
+
+// configuration names the revision, if it is known.
+func (e Event) configuration() string {
+	if e.Evidence.Revision == 0 {
+		return "the configuration"
+	}
+	return fmt.Sprintf("configuration revision %d", e.Evidence.Revision)
+}
+
 func (e Event) service() string {
 	if e.Service == "" {
 		return "the node"
--- a/event/sentence_test.go
+++ b/event/sentence_test.go
@@ -40,8 +40,8 @@
 		},
 		{
 			"configuration",
-			Event{Kind: KindConfiguration, Rule: "applied", Evidence: Evidence{Revision: 12}},
-			"a decision on configuration revision 12 was taken, because an accepted configuration came into force (rule applied). " +
+			Event{Kind: KindConfiguration, Rule: "newer_revision", Evidence: Evidence{Revision: 12}},
+			"a decision on configuration revision 12 was taken, because a newer revision was accepted (rule newer_revision). " +
 				"Evidence: revision 12.",
 		},
 		{
@@ -49,6 +49,14 @@
 			Event{Kind: KindHomeMove, Service: "larder", Rule: "lease_lapsed", From: "a", To: "b"},
 			"the home of service larder moved (from a to b), because the rule lease_lapsed fired.",
 		},
+		{
+			"homes of a member", Event{Kind: KindHomeMove, Rule: "member_gone", From: "oadby-1"},
+			"homes moved (from oadby-1), because a member of the fleet is gone (rule member_gone).",
+		},
+		{
+			"configuration of a document", Event{Kind: KindConfiguration, Rule: "refused", To: "7/ab"},
+			"a decision on the configuration was taken (to 7/ab), because the document had problems (rule refused).",
+		},
 		{
 			"kind of a newer release",
 			Event{Kind: "election", Rule: ""},
--- a/node/explain.go
+++ b/node/explain.go
@@ -11,7 +11,6 @@
 	"filbertmill.example/event"
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/outcome"
-	"filbertmill.example/pool"
 )
 
 // ExplainPath is where operators ask for explanations. Its parameters are
@@ -26,10 +25,10 @@
 // so that the answer stays within the size of a control message.
 const maxExplained = 500
 
-// emitRefusal records that this node, as the home, gave a request up. A caller
-// that left is no decision of the node.
-func (n *Node) emitRefusal(r *request, refusal pool.Refusal) {
-	if refusal.Reason == outcome.ReasonCallerLeft {
+// emitRefusal records that this node, as the home, gave a request up, unless
+// the Scheduler has recorded it. A caller that left is no decision of the node.
+func (n *Node) emitRefusal(r *request, g grant) {
+	if g.explained || g.refusal.Reason == outcome.ReasonCallerLeft {
 		return
 	}
 	e := event.Event{
@@ -37,8 +36,8 @@
 		Kind:     event.KindRefusal,
 		Service:  r.service.Name,
 		Request:  r.id,
-		Rule:     string(refusal.Reason),
-		Evidence: event.Evidence{Wait: refusal.RetryAfter},
+		Rule:     string(g.refusal.Reason),
+		Evidence: event.Evidence{Wait: g.refusal.RetryAfter},
 	}
 	n.Emit(e)
 }
--- a/node/home.go
+++ b/node/home.go
@@ -35,7 +35,7 @@
 	for try := 1; ; try++ {
 		g, id := n.admit(ctx, r, exclude)
 		if g.refusal != nil {
-			n.emitRefusal(r, *g.refusal)
+			n.emitRefusal(r, g)
 			if try > 1 {
 				return last
 			}
@@ -62,6 +62,7 @@
 	reply := make(chan grant, 1)
 	sent := n.control.send(submitCommand{
 		service: r.service.Name,
+		name:    r.id,
 		reply:   reply,
 		request: pool.Request{
 			ID:         id,
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"filbertmill.example/config/dynamic"
@@ -16,7 +17,16 @@
 	service *dynamic.Service
 	sched   pool.Scheduler
 	address map[string]string
-	waiting map[pool.RequestID]chan<- grant
+	waiting map[pool.RequestID]waiter
+	// explained is the attempt whose refusal the Scheduler has just recorded.
+	explained pool.RequestID
+}
+
+// waiter is where the grant of an attempt goes, and the id that the caller
+// gave the request.
+type waiter struct {
+	reply   chan<- grant
+	request string
 }
 
 // grant answers an admission: a target to run on, or a refusal.
@@ -24,11 +34,13 @@
 	target  string
 	address string
 	refusal *pool.Refusal
+	// explained says that an event on the refusal was recorded.
+	explained bool
 }
 
 // newServicePool makes the pool of a service with the targets listed for it.
 func newServicePool(c *controlLoop, svc *dynamic.Service, now time.Time) *servicePool {
-	p := &servicePool{control: c, waiting: make(map[pool.RequestID]chan<- grant)}
+	p := &servicePool{control: c, waiting: make(map[pool.RequestID]waiter)}
 	cfg := poolConfig(svc, c.config.Targets)
 	if svc.Variant == dynamic.VariantDirect {
 		p.sched = pool.NewDirect(cfg, p, c.seed)
@@ -106,17 +118,17 @@
 
 // Refuse implements pool.Delegate.
 func (p *servicePool) Refuse(id pool.RequestID, r pool.Refusal) {
-	p.answer(id, grant{refusal: &r})
+	p.answer(id, grant{refusal: &r, explained: p.explained == id})
 }
 
 // answer hands a grant to the goroutine that waits for it.
 func (p *servicePool) answer(id pool.RequestID, g grant) {
-	ch, ok := p.waiting[id]
+	w, ok := p.waiting[id]
 	if !ok {
 		return
 	}
 	delete(p.waiting, id)
-	ch <- g
+	w.reply <- g
 }
 
 // Probe implements pool.Delegate.
@@ -124,9 +136,14 @@
 	p.control.env.probe(p.service.Name, target, p.address[target], p.service.ProbePath, origin)
 }
 
-// Event implements pool.Delegate.
+// Event implements pool.Delegate. The Scheduler knows attempts by their own
+// ids; operators know requests by those of the callers.
 func (p *servicePool) Event(e event.Event) {
 	e.Service = p.service.Name
+	if id, err := strconv.ParseUint(e.Request, 10, 64); err == nil {
+		p.explained = pool.RequestID(id)
+		e.Request = p.waiting[p.explained].request
+	}
 	p.control.env.Emit(e)
 }
 
@@ -136,6 +153,8 @@
 	service string
 	request pool.Request
 	reply   chan<- grant
+	// name is the request's id as the caller gave it.
+	name string
 }
 
 func (m submitCommand) apply(c *controlLoop, now time.Time) {
@@ -144,7 +163,7 @@
 		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
 		return
 	}
-	p.waiting[m.request.ID] = m.reply
+	p.waiting[m.request.ID] = waiter{reply: m.reply, request: m.name}
 	p.sched.Submit(now, m.request)
 }
 
--- /dev/null
+++ b/node/servicepool_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/config/dynamic"
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+	"filbertmill.example/pool"
+)
+
+// recorder is an environment that keeps the events.
+type recorder struct {
+	events []event.Event
+}
+
+func (r *recorder) Emit(e event.Event) { r.events = append(r.events, e) }
+
+func (r *recorder) probe(_, _, _, _ string, _ pool.Origin) {}
+
+func TestRefusalCarriesTheCallersID(t *testing.T) {
+	env := &recorder{}
+	reply := make(chan grant, 1)
+	p := &servicePool{
+		control: newControlLoop(env, 1),
+		service: &dynamic.Service{Name: "larder"},
+		waiting: map[pool.RequestID]waiter{7: {reply: reply, request: "van-7"}},
+	}
+	p.Event(event.Event{Kind: event.KindRefusal, Request: "7", Rule: "queue_full"})
+	p.Refuse(7, pool.Refusal{Reason: outcome.ReasonQueueFull})
+	qt.Assert(t, env.events, qt.DeepEquals, []event.Event{
+		{Kind: event.KindRefusal, Service: "larder", Request: "van-7", Rule: "queue_full"},
+	})
+	g := <-reply
+	qt.Assert(t, g.explained, qt.IsTrue, qt.Commentf("the node does not record it again"))
+
+	p.waiting[8] = waiter{reply: reply, request: "van-8"}
+	p.Refuse(8, pool.Refusal{Reason: outcome.ReasonNoTarget})
+	g = <-reply
+	qt.Assert(t, g.explained, qt.IsFalse)
+}
