--- a/event/sentence_test.go
+++ b/event/sentence_test.go
@@ -50,11 +50,13 @@
 			"the home of service larder moved (from a to b), because the rule lease_lapsed fired.",
 		},
 		{
-			"homes of a member", Event{Kind: KindHomeMove, Rule: "member_gone", From: "oadby-1"},
+			"homes of a member",
+			Event{Kind: KindHomeMove, Rule: "member_gone", From: "oadby-1"},
 			"homes moved (from oadby-1), because a member of the fleet is gone (rule member_gone).",
 		},
 		{
-			"configuration of a document", Event{Kind: KindConfiguration, Rule: "refused", To: "7/ab"},
+			"configuration of a document",
+			Event{Kind: KindConfiguration, Rule: "refused", To: "7/ab"},
 			"a decision on the configuration was taken (to 7/ab), because the document had problems (rule refused).",
 		},
 		{
