--- a/event/sentence.go
+++ b/event/sentence.go
@@ -41,9 +41,9 @@
 	case KindRefusal:
 		return e.request() + " was refused before it ran"
 	case KindShed:
-		return e.target() + " declined " + e.request()
+		return "target " + e.Target + " declined " + e.request()
 	case KindRetry:
-		return e.request() + " was tried again" + prefixed(" after ", e.target())
+		return e.request() + " was tried again" + prefixed(" after target ", e.Target)
 	case KindFailover:
 		return e.request() + " went past a node that did not serve it" + e.change()
 	case KindHomeMove:
--- a/node/node.go
+++ b/node/node.go
@@ -12,7 +12,6 @@
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/config/static"
-	"filbertmill.example/event"
 	"filbertmill.example/exchange"
 )
 
@@ -122,19 +121,6 @@
 	return err
 }
 
-// Emit implements event.Sink: it counts the event and logs it.
-func (n *Node) Emit(e event.Event) {
-	e.Node = n.settings.Name
-	n.stats.countEvent(e.Kind)
-	n.reports.ring.Emit(e)
-	level := hclog.Info
-	if e.Kind == event.KindRefusal || e.Kind == event.KindRetry || e.Kind == event.KindShed {
-		level = hclog.Debug
-	}
-	n.log.Log(level, string(e.Kind), "service", e.Service, "target", e.Target, "request", e.Request,
-		"rule", e.Rule, "from", e.From, "to", e.To, "evidence", e.Evidence)
-}
-
 // closeListeners ends the listeners that were opened.
 func (n *Node) closeListeners() {
 	for _, l := range []*listener{n.callers, n.peers, n.admin} {
