--- a/burn/page/page.go
+++ b/burn/page/page.go
@@ -49,7 +49,7 @@
 func drawService(s burn.ServiceReport, now time.Time) (service, error) {
 	drawn := service{ServiceReport: s}
 	if len(s.Minutes) > 0 {
-		svg, err := ratePlot(s)
+		svg, err := ratePlot(s, now)
 		if err != nil {
 			return drawn, err
 		}
--- a/burn/page/plot.go
+++ b/burn/page/plot.go
@@ -32,8 +32,14 @@
 	legendRoom    = 1.6
 )
 
-// hoursShown is the number of hours on the axis of the plot of failures.
-const hoursShown = 72
+const (
+	// rateShown is the length of the axis of the plot of the burn rate.
+	rateShown = time.Hour
+	// rateRoom is how much higher than the highest rate its plot is.
+	rateRoom = 1.1
+	// hoursShown is the number of hours on the axis of the plot of failures.
+	hoursShown = 72
+)
 
 // causeColors tell the causes apart, also for people who see few colors.
 var causeColors = map[burn.Cause]color.Color{
@@ -47,7 +53,7 @@
 var failingCauses = []burn.Cause{burn.CauseTarget, burn.CauseCrest, burn.CausePoison, burn.CauseOwn}
 
 // ratePlot draws the burn rate by minute. Minutes without requests leave a gap.
-func ratePlot(s burn.ServiceReport) ([]byte, error) {
+func ratePlot(s burn.ServiceReport, now time.Time) ([]byte, error) {
 	p := plot.New()
 	p.Y.Label.Text = "burn rate"
 	p.Y.Min = 0
@@ -66,7 +72,9 @@
 		points.Color = line.Color
 		p.Add(line, points)
 	}
-	p.Y.Max = max(p.Y.Max, 1)
+	p.X.Max = float64(now.Unix())
+	p.X.Min = float64(now.Add(-rateShown).Unix())
+	p.Y.Max = max(p.Y.Max, 1) * rateRoom
 	return render(p)
 }
 
