A node that ends in order hands its burn counts to another

Cause: hosts keep nothing, and with the replacements of the planned size a window of 30 days would cover hours. Change: after draining, a node sends its counts once to the next member that answers and forgets them; the heir adds them to its own buckets.

--- a/burn/counts.go
+++ b/burn/counts.go
@@ -50,10 +50,10 @@
 // largest number.
 type tally [causeCount]uint32
 
-func (t *tally) add(cause Cause) {
-	if t[cause] < math.MaxUint32 {
-		t[cause]++
-	}
+func (t *tally) add(cause Cause) { t.addMany(cause, 1) }
+
+func (t *tally) addMany(cause Cause, n uint64) {
+	t[cause] += uint32(min(n, uint64(math.MaxUint32-t[cause])))
 }
 
 func (t tally) counts() Counts {
--- /dev/null
+++ b/burn/handover.go
@@ -0,0 +1,55 @@
+package burn
+
+import "time"
+
+// Take returns all counts in pages and forgets them, for a node that is going
+// away and hands them to another.
+func (r *Recorder) Take(now time.Time) []Snapshot {
+	r.mu.Lock()
+	taken := &Recorder{since: r.since, services: r.services}
+	r.services = map[string]*[len(Levels)]series{}
+	r.mu.Unlock()
+	var pages []Snapshot
+	for q := (Query{}); ; {
+		page := taken.Snapshot(now, q)
+		if len(page.Services) == 0 {
+			return pages
+		}
+		pages = append(pages, page)
+		q.After = page.Services[len(page.Services)-1].Service
+	}
+}
+
+// Absorb adds the counts that another node has handed over.
+func (r *Recorder) Absorb(s Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if since := time.Unix(s.Since, 0); since.Before(r.since) {
+		r.since = since
+	}
+	for _, service := range s.Services {
+		levels := r.levels(service.Service)
+		for i := range min(len(service.Buckets), len(Levels)) {
+			for _, b := range service.Buckets[i] {
+				levels[i].absorb(b)
+			}
+		}
+	}
+}
+
+// absorb adds a bucket unless the ring has gone past it.
+func (s series) absorb(from Bucket) {
+	if from.Epoch <= 0 {
+		return
+	}
+	b := &s[int(from.Epoch%int64(len(s)))]
+	if b.epoch > from.Epoch {
+		return
+	}
+	if b.epoch < from.Epoch {
+		*b = bucket{epoch: from.Epoch}
+	}
+	for cause := range b.tally {
+		b.tally.addMany(Cause(cause), from.Counts.Of(Cause(cause)))
+	}
+}
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -27,11 +27,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	levels, found := r.services[service]
-	if !found {
-		levels = newLevels()
-		r.services[service] = levels
-	}
+	levels := r.levels(service)
 	for i, l := range Levels {
 		levels[i].add(l.epoch(now), cause)
 	}
@@ -49,6 +45,16 @@
 	}
 }
 
+// levels returns the buckets of a service, made on first use; the lock is held.
+func (r *Recorder) levels(service string) *[len(Levels)]series {
+	levels, found := r.services[service]
+	if !found {
+		levels = newLevels()
+		r.services[service] = levels
+	}
+	return levels
+}
+
 func newLevels() *[len(Levels)]series {
 	var levels [len(Levels)]series
 	for i, l := range Levels {
--- a/burn/recorder_test.go
+++ b/burn/recorder_test.go
@@ -75,6 +75,30 @@
 	qt.Assert(t, total.Window(now, "larder", time.Hour), qt.Equals, Counts{Good: 3, Own: 1})
 }
 
+// handOver has the first recorder absorb what all others counted.
+func handOver(at time.Time, all []*Recorder) *Recorder {
+	for _, r := range all[1:] {
+		for _, page := range r.Take(at) {
+			all[0].Absorb(page)
+		}
+	}
+	return all[0]
+}
+
+func TestAbsorbDropsWhatIsOutOfReach(t *testing.T) {
+	old, heir := NewRecorder(now.Add(-5*time.Hour)), NewRecorder(now)
+	old.Record(now.Add(-2*time.Hour), "larder", CauseOwn)
+	heir.Record(now, "larder", CauseGood)
+	for _, page := range old.Take(now.Add(-2 * time.Hour)) {
+		heir.Absorb(page)
+	}
+	heir.Absorb(Snapshot{Services: []ServiceCounts{{Service: "larder", Buckets: [][]Bucket{{{Epoch: -7}}}}}})
+	total := Merge([]Snapshot{heir.Snapshot(now, Query{})})
+	qt.Assert(t, total.Window(now, "larder", time.Hour), qt.Equals, Counts{Good: 1})
+	qt.Assert(t, total.Window(now, "larder", 24*time.Hour), qt.Equals, Counts{Good: 1, Own: 1})
+	qt.Assert(t, old.Snapshot(now, Query{}).Services, qt.HasLen, 0)
+}
+
 func TestMergeCountsEachRequestOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(1, 4).Draw(t, "nodes")
@@ -97,6 +121,9 @@
 		}
 		want := Merge([]Snapshot{one.Snapshot(at, Query{})})
 		got := Merge(snapshots)
+		if rapid.Bool().Draw(t, "handed over") {
+			got = Merge([]Snapshot{handOver(at, many).Snapshot(at, Query{})})
+		}
 		for _, service := range []string{"larder", "coldrun"} {
 			for _, window := range reportedWindows {
 				if g, w := got.Window(at, service, window), want.Window(at, service, window); g != w {
--- a/integration/report_test.go
+++ b/integration/report_test.go
@@ -7,7 +7,9 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -117,3 +119,37 @@
 	c.Check(s.Counts.Crest > 0, qt.IsTrue, qt.Commentf("the overflow shows"))
 	c.Check(s.BudgetLeft < 0, qt.IsTrue)
 }
+
+// A node that is stopped in order hands its counts to another.
+func TestBurnOutlivesARestart(t *testing.T) {
+	c := qt.New(t)
+	_, ini := startTargets(c, "statusdesk", target.Config{Work: time.Millisecond})
+	f := startFleet(c, 3, pathConfig+ini)
+	const each = 10
+	for i := range f.nodes {
+		for range each {
+			resp, err := http.Get(f.url(i, "/status/van"))
+			c.Assert(err, qt.IsNil)
+			resp.Body.Close()
+		}
+	}
+	c.Assert(f.nodes[0].Terminate(), qt.IsNil)
+	c.Assert(f.nodes[0].Wait(), qt.IsNil)
+	out, _ := command(c, "report", "burn", "--json", "--admin", f.nodes[1].Spec.Admin)
+	var got burn.Report
+	c.Assert(json.Unmarshal([]byte(out), &got), qt.IsNil)
+	c.Check(got.Services[0].Counts, qt.Equals, burn.Counts{Good: each * uint64(len(f.nodes))})
+}
+
+// The command's exit code tells a script whether a file is fine.
+func TestCheckCommand(t *testing.T) {
+	c := qt.New(t)
+	file := filepath.Join(c.TempDir(), "fleet.ini")
+	c.Assert(os.WriteFile(file, []byte("[service a]\nslots = many\n"), 0o600), qt.IsNil)
+	out, code := command(c, "check", file)
+	c.Check(out, qt.Equals, file+":2: [service a] slots: \"many\" is not a whole number\n")
+	c.Check(code, qt.Equals, 1)
+	c.Assert(os.WriteFile(file, []byte("[service a]\n"), 0o600), qt.IsNil)
+	_, code = command(c, "check", file)
+	c.Check(code, qt.Equals, 0)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -113,6 +113,7 @@
 	select {
 	case <-ctx.Done():
 		n.drain()
+		n.handOverBurn()
 	case err = <-failed:
 		err = errors.Wrap(err, "a listener ended")
 	}
--- a/node/reports.go
+++ b/node/reports.go
@@ -22,10 +22,11 @@
 	return &reports{ring: event.NewRing(ring), burn: burn.NewRecorder(now)}
 }
 
-// connectReports lets other nodes ask this one.
+// connectReports lets other nodes ask this one and hand their counts over.
 func (n *Node) connectReports(t *control.Transport) {
 	t.Handle(kindExplain, n.answerExplain)
 	t.Handle(kindBurn, n.answerBurn)
+	t.Handle(kindBurnHandover, n.absorbBurn)
 }
 
 // reportRoutes adds the reports to what operators may ask.
