--- a/node/home.go
+++ b/node/home.go
@@ -37,6 +37,7 @@
 	for try := 1; ; try++ {
 		g, id := n.admit(ctx, r, exclude)
 		if g.refusal != nil {
+			n.emitRefusal(r, g)
 			if try > 1 {
 				return last
 			}
@@ -68,6 +69,7 @@
 		service:     r.service.Name,
 		reply:       reply,
 		fingerprint: r.fingerprint(),
+		name:        r.id,
 		request: pool.Request{
 			ID:         id,
 			Route:      r.route.Name,
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"filbertmill.example/config/dynamic"
@@ -18,8 +19,17 @@
 	service *dynamic.Service
 	sched   pool.Scheduler
 	address map[string]string
-	waiting map[pool.RequestID]chan<- grant
 	retries *retry.Budget
+	waiting map[pool.RequestID]waiter
+	// explained is the attempt whose refusal the Scheduler has just recorded.
+	explained pool.RequestID
+}
+
+// waiter is where the grant of an attempt goes, and the id that the caller
+// gave the request.
+type waiter struct {
+	reply   chan<- grant
+	request string
 }
 
 // grant answers an admission: a target to run on, or a refusal.
@@ -27,13 +37,15 @@
 	target  string
 	address string
 	refusal *pool.Refusal
+	// explained says that an event on the refusal was recorded.
+	explained bool
 }
 
 // newServicePool makes the pool of a service with the targets listed for it.
 func newServicePool(c *controlLoop, svc *dynamic.Service, now time.Time) *servicePool {
 	p := &servicePool{
 		control: c,
-		waiting: make(map[pool.RequestID]chan<- grant),
+		waiting: make(map[pool.RequestID]waiter),
 		retries: retry.NewBudget(retryConfig(svc)),
 	}
 	cfg := poolConfig(svc, c.config.Targets)
@@ -114,21 +126,17 @@
 
 // Refuse implements pool.Delegate.
 func (p *servicePool) Refuse(id pool.RequestID, r pool.Refusal) {
-	p.answer(id, grant{refusal: &r})
-	p.Event(event.Event{
-		Time: p.control.now(), Kind: event.KindRefusal, Rule: string(r.Reason),
-		Evidence: event.Evidence{Wait: r.RetryAfter},
-	})
+	p.answer(id, grant{refusal: &r, explained: p.explained == id})
 }
 
 // answer hands a grant to the goroutine that waits for it.
 func (p *servicePool) answer(id pool.RequestID, g grant) {
-	ch, ok := p.waiting[id]
+	w, ok := p.waiting[id]
 	if !ok {
 		return
 	}
 	delete(p.waiting, id)
-	ch <- g
+	w.reply <- g
 }
 
 // Probe implements pool.Delegate.
@@ -136,9 +144,14 @@
 	p.control.env.probe(p.service.Name, target, p.address[target], p.service.ProbePath, origin)
 }
 
-// Event implements pool.Delegate.
+// Event implements pool.Delegate. The Scheduler knows attempts by their own
+// ids; operators know requests by those of the callers.
 func (p *servicePool) Event(e event.Event) {
 	e.Service = p.service.Name
+	if id, err := strconv.ParseUint(e.Request, 10, 64); err == nil {
+		p.explained = pool.RequestID(id)
+		e.Request = p.waiting[p.explained].request
+	}
 	p.control.env.Emit(e)
 }
 
@@ -149,6 +162,8 @@
 	request     pool.Request
 	fingerprint poison.Fingerprint
 	reply       chan<- grant
+	// name is the request's id as the caller gave it.
+	name string
 }
 
 func (m submitCommand) apply(c *controlLoop, now time.Time) {
@@ -163,7 +178,7 @@
 	if len(m.request.Exclude) == 0 {
 		p.retries.Request(now)
 	}
-	p.waiting[m.request.ID] = m.reply
+	p.waiting[m.request.ID] = waiter{reply: m.reply, request: m.name}
 	p.sched.Submit(now, m.request)
 }
 
