--- a/fleet/publish/diff.go
+++ b/fleet/publish/diff.go
@@ -21,12 +21,14 @@
 // String returns the difference for people.
 func (d Difference) String() string {
 	name := "[" + d.Section + "]"
-	if d.Key != "" {
-		name += " " + d.Key
+	switch {
+	case d.Key == "" && d.From == nil:
+		return "+ " + name
+	case d.Key == "":
+		return "- " + name
 	}
+	name += " " + d.Key
 	switch {
-	case d.From == nil && d.To == nil:
-		return name
 	case d.From == nil:
 		return fmt.Sprintf("+ %s = %s", name, *d.To)
 	case d.To == nil:
