fleet: a listed departure is believed; callers do not wait for another's dial

Cause: a node refuted its own listed departure, so that its homes moved to and fro; a ping of a silent node waited for another caller's dial. Change: a node adopts the departure that the host list states; the lock of an outgoing connection is given up with the caller's context.

--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -71,7 +71,8 @@
 
 // link is the outgoing side towards one control address.
 type link struct {
-	mu      sync.Mutex
+	// busy holds a token while a caller looks at or opens the connection.
+	busy    chan struct{}
 	conn    *conn
 	backoff Backoff
 }
@@ -175,13 +176,17 @@
 	t.mu.Lock()
 	l := t.links[to.ControlAddress]
 	if l == nil {
-		l = &link{}
+		l = &link{busy: make(chan struct{}, 1)}
 		t.links[to.ControlAddress] = l
 	}
 	t.mu.Unlock()
 
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	select {
+	case l.busy <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "connect to %s", to.Name)
+	}
+	defer func() { <-l.busy }()
 	if l.conn != nil {
 		select {
 		case <-l.conn.done:
@@ -292,7 +297,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for address, l := range t.links {
-		if !l.mu.TryLock() {
+		select {
+		case l.busy <- struct{}{}:
+		default:
 			continue
 		}
 		if l.conn != nil && l.conn.idle(now) > idleTimeout {
@@ -302,6 +309,6 @@
 		if l.conn == nil && l.backoff.Wait(now) == 0 {
 			delete(t.links, address)
 		}
-		l.mu.Unlock()
+		<-l.busy
 	}
 }
--- a/fleet/control/transport_test.go
+++ b/fleet/control/transport_test.go
@@ -175,3 +175,25 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+func TestCallerDoesNotWaitForAnothersDial(t *testing.T) {
+	// The listener takes connections and never answers, like a paused node.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	a, _ := start(t, "a", testKey)
+	silent := Peer{Name: "silent", ControlAddress: l.Addr().String()}
+	ctx, stop := context.WithCancel(testContext(t))
+	slow := make(chan error, 1)
+	go func() { slow <- a.Call(ctx, silent, "echo", ping{}, nil) }()
+	for a.Counters().Dials == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	hurried, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	err = a.Call(hurried, silent, "echo", ping{}, nil)
+	qt.Assert(t, errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
+	qt.Assert(t, len(slow), qt.Equals, 0)
+	stop()
+	qt.Assert(t, <-slow, qt.IsNotNil)
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"filbertmill.example/platform"
 	"filbertmill.example/platform/memory"
 )
 
@@ -228,13 +229,14 @@
 		inFleet(t, nodes, func(t *testing.T, f *testFleet) {
 			const span = 5 * time.Minute
 			calls := f.store.Calls().Total() + f.hosts.Calls().Total()
-			messages, bytes := f.net.messages, f.net.bytes
+			messages, bytes := f.net.counts()
 			time.Sleep(span)
 			calls = f.store.Calls().Total() + f.hosts.Calls().Total() - calls
+			messagesAfter, bytesAfter := f.net.counts()
 			perSecond := float64(calls) / span.Seconds()
 			t.Logf("%d nodes: %.2f platform calls/s, %.0f messages and %.0f body bytes a second and node", nodes, perSecond,
-				float64(f.net.messages-messages)/span.Seconds()/float64(nodes),
-				float64(f.net.bytes-bytes)/span.Seconds()/float64(nodes))
+				float64(messagesAfter-messages)/span.Seconds()/float64(nodes),
+				float64(bytesAfter-bytes)/span.Seconds()/float64(nodes))
 			qt.Assert(t, perSecond <= 2, qt.IsTrue, qt.Commentf("%.2f calls a second", perSecond))
 		})
 	}
@@ -258,3 +260,17 @@
 		qt.Assert(t, s.Members[2].Lagging, qt.IsFalse)
 	})
 }
+
+func TestListedDepartureMovesHomes(t *testing.T) {
+	inFleet(t, 6, func(t *testing.T, f *testFleet) {
+		home := f.nodes["node-00"].agent.View().Homes("bookings")[0]
+		f.hosts.SetHosts([]platform.Host{{Name: home.Name(), Leaving: true}})
+		f.await("the home has moved", time.Minute, func(n *testNode) bool {
+			return !slices.Contains(names(n.agent.View().Homes("bookings")), home.Name())
+		})
+		for range 60 {
+			time.Sleep(time.Second)
+			qt.Assert(t, f.nodes[home.Name()].agent.Ready().Reason, qt.Equals, "leaving")
+		}
+	})
+}
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -134,16 +134,22 @@
 	a.offer(e.Self, e.InForce)
 }
 
-// learn takes in one record. What is wrong about this node is refuted.
+// learn takes in one record. What is wrong about this node is refuted, save
+// that the platform is taking its host away.
 func (a *Agent) learn(m Member, now time.Time) {
 	if m.Name() != a.self.Name() {
 		a.table.apply(m, now)
 		return
 	}
-	if m.Supersedes(a.self) {
+	if !m.Supersedes(a.self) {
+		return
+	}
+	if m.State == StateLeaving && m.Incarnation == a.self.Incarnation {
+		a.self.State = StateLeaving
+	} else {
 		a.self.Incarnation = m.Incarnation + 1
-		a.table.apply(a.self, now)
 	}
+	a.table.apply(a.self, now)
 }
 
 // compareTables fetches records that differ from a random partner's.
--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -46,6 +46,13 @@
 	n.cut = cut
 }
 
+// counts returns the messages carried and their bytes.
+func (n *network) counts() (messages, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.messages, n.bytes
+}
+
 func (p *port) Handle(kind control.Kind, h control.Handler) {
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
--- a/measure/fleetscale/losses.go
+++ b/measure/fleetscale/losses.go
@@ -130,7 +130,10 @@
 			}
 		}
 	}
-	return loseZone(ctx, f, zones[0])
+	if err := loseZone(ctx, f, zones[0], true); err != nil {
+		return err
+	}
+	return loseZone(ctx, f, zones[1], false)
 }
 
 func loseHome(ctx context.Context, f *cluster.Cluster, service int, pause bool) error {
@@ -165,7 +168,9 @@
 	return awaitAll(ctx, f)
 }
 
-func loseZone(ctx context.Context, f *cluster.Cluster, zone string) error {
+// loseZone takes all nodes of a zone away at once. Stopped nodes answer nothing,
+// as if the network were cut; killed ones refuse connections.
+func loseZone(ctx context.Context, f *cluster.Cluster, zone string, pause bool) error {
 	inZone := make(map[string]bool)
 	for _, s := range f.Specs {
 		inZone[s.Name] = s.AvailabilityZone == zone
@@ -173,22 +178,43 @@
 	l := startLoad(ctx, entriesWithout(f, func(name string) bool { return inZone[name] }))
 	time.Sleep(time.Second)
 	at := time.Now()
-	lost := 0
+	what, lost := "killed", 0
+	if pause {
+		what = "stopped"
+	}
 	for _, name := range f.Names() {
-		if inZone[name] {
+		if !inZone[name] {
+			continue
+		}
+		lost++
+		if !pause {
 			f.Kill(name)
-			lost++
+		} else if err := f.Nodes[name].Pause(); err != nil {
+			return err
 		}
 	}
 	time.Sleep(afterLoss)
-	below, err := belowFloor(ctx, f)
+	below, err := belowFloor(ctx, f, func(name string) bool { return inZone[name] })
 	samples := l.stop()
 	if err != nil {
 		return err
 	}
-	fmt.Printf("zone lost, %d nodes killed at once: %v; pools below their floor: %d\n",
-		lost, judge(samples, at, func(int) bool { return true }), below)
-	return nil
+	fmt.Printf("zone lost, %d nodes %s at once: %v; pools below their floor: %d\n",
+		lost, what, judge(samples, at, func(int) bool { return true }), below)
+	return resumeZone(ctx, f, inZone)
+}
+
+// resumeZone lets stopped nodes go on and waits until all agree.
+func resumeZone(ctx context.Context, f *cluster.Cluster, inZone map[string]bool) error {
+	for name, n := range f.Nodes {
+		if !inZone[name] {
+			continue
+		}
+		if err := n.Resume(); err != nil {
+			return err
+		}
+	}
+	return awaitAll(ctx, f)
 }
 
 // entriesWithout returns the caller addresses of the nodes that are not left out.
@@ -203,9 +229,12 @@
 }
 
 // belowFloor counts the pools whose healthy slots are fewer than their floor.
-func belowFloor(ctx context.Context, f *cluster.Cluster) (int, error) {
+func belowFloor(ctx context.Context, f *cluster.Cluster, leftOut func(name string) bool) (int, error) {
 	below := 0
-	for _, n := range f.Nodes {
+	for name, n := range f.Nodes {
+		if leftOut(name) {
+			continue
+		}
 		var list []pool.Snapshot
 		if err := cluster.GetJSON(ctx, n.Spec.Admin, "/pools", &list); err != nil {
 			return 0, err
