node: claims of keyed requests, wired to the fleet and the store

Cause: a booking sent again through another node must find the first one's outcome. Change: a keyed request is dispatched by its service's home only after its claim; claims, seals and copies travel as control messages in pages, tenures are records tenure/SERVICE in the platform's store. Entry nodes may ask the next home about a keyed request whose home was lost. A dispatched keyed request is finished also if its caller left. Without a store keys are refused.

--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -40,23 +40,28 @@
 
 // fleet is a number of running nodes with one fleet configuration.
 type fleet struct {
-	nodes []*process.Node
+	nodes    []*process.Node
+	specs    []process.Spec
+	dir      string
+	platform string
 }
 
 // startFleet starts n nodes that read the configuration from a file.
 func startFleet(c *qt.C, n int, configuration string) *fleet {
-	dir := c.TempDir()
-	file := filepath.Join(dir, "fleet.ini")
+	file := filepath.Join(c.TempDir(), "fleet.ini")
 	c.Assert(os.WriteFile(file, []byte(configuration), 0o600), qt.IsNil)
+	return startNodes(c, n, "config_file = "+file)
+}
+
+// startNodes starts n nodes with the given lines in the section [platform] of
+// their settings.
+func startNodes(c *qt.C, n int, platform string) *fleet {
 	specs, err := process.NewSpecs(n, zones)
 	c.Assert(err, qt.IsNil)
-	f := &fleet{}
-	extra := fmt.Sprintf("[platform]\nconfig_file = %s\n\n[drain]\ndelay = 200ms\n", file)
-	for _, spec := range specs {
-		node, err := process.Start(binary, dir, spec, spec.Settings(specs, extra))
-		c.Assert(err, qt.IsNil)
-		c.Cleanup(node.Kill)
-		f.nodes = append(f.nodes, node)
+	f := &fleet{dir: c.TempDir(), platform: platform, specs: specs}
+	for i := range specs {
+		f.nodes = append(f.nodes, nil)
+		f.start(c, i)
 	}
 	for _, node := range f.nodes {
 		c.Assert(node.Ready(context.Background()), qt.IsNil)
@@ -64,6 +69,15 @@
 	return f
 }
 
+// start starts the i-th node, which may have run before.
+func (f *fleet) start(c *qt.C, i int) {
+	extra := fmt.Sprintf("[platform]\n%s\n\n[drain]\ndelay = 200ms\n", f.platform)
+	node, err := process.Start(binary, f.dir, f.specs[i], f.specs[i].Settings(f.specs, extra))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(node.Kill)
+	f.nodes[i] = node
+}
+
 // url returns a URL on which the i-th node serves callers.
 func (f *fleet) url(i int, path string) string {
 	return "http://" + f.nodes[i].Spec.Callers + path
--- /dev/null
+++ b/integration/once_test.go
@@ -0,0 +1,182 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/fleet/publish"
+	"filbertmill.example/once"
+	"filbertmill.example/outcome"
+	"filbertmill.example/platform/memory"
+	"filbertmill.example/platform/standin"
+	"filbertmill.example/testbed/answer"
+	"filbertmill.example/testbed/target"
+)
+
+const bookingConfig = `
+[service bookings]
+
+[route book]
+prefix = /book
+service = bookings
+idempotency = never
+timeout = 5s
+`
+
+// bookingFleet is a fleet with a store and one service that books.
+type bookingFleet struct {
+	*fleet
+	store   *standin.Standin
+	targets []*target.Target
+	ledger  *target.Ledger
+}
+
+// startBookings starts n nodes, a store and four targets.
+func startBookings(c *qt.C, n int) *bookingFleet {
+	store, err := standin.Start("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = store.Close() })
+	ledger := target.NewLedger()
+	cfg := target.Config{Ledger: ledger, Work: 2 * time.Millisecond, CrashFor: 50 * time.Millisecond}
+	targets, ini := startTargets(c, "bookings", cfg, cfg, cfg, cfg)
+	publisher := &publish.Publisher{Store: store.Store}
+	_, err = publisher.Apply(c.Context(), publish.Change{File: "fleet.ini", Text: []byte(bookingConfig + ini), Author: "test"})
+	c.Assert(err, qt.IsNil)
+	f := startNodes(c, n, "store = "+store.URL())
+	return &bookingFleet{fleet: f, store: store, targets: targets, ledger: ledger}
+}
+
+// book sends a booking through the i-th node.
+func (f *bookingFleet) book(i int, id string, header ...string) reply {
+	return f.booking(i, id, header...).send()
+}
+
+func (f *bookingFleet) booking(i int, id string, header ...string) sending {
+	s := sending{
+		method: "POST", url: f.url(i, "/book"), id: id, body: "rug " + id,
+		header: map[string]string{"Idempotency-Key": id},
+	}
+	for k := 0; k < len(header); k += 2 {
+		s.header[header[k]] = header[k+1]
+	}
+	return s
+}
+
+// holder returns the node that holds the tenure, by the store's record.
+func (f *bookingFleet) holder(c *qt.C) int {
+	e, err := f.store.Store.Get(c.Context(), "tenure/bookings")
+	c.Assert(err, qt.IsNil)
+	var t once.Tenure
+	c.Assert(json.Unmarshal(e.Value, &t), qt.IsNil)
+	for i, n := range f.nodes {
+		if n.Spec.Name == t.Holder.Name {
+			return i
+		}
+	}
+	c.Fatalf("the holder %s is no node of the fleet", t.Holder.Name)
+	return 0
+}
+
+func TestRepeatThroughAnyNodeIsReplayed(t *testing.T) {
+	c := qt.New(t)
+	f := startBookings(c, 4)
+	first := f.book(0, "van-1")
+	c.Assert(first.failure, qt.IsNil)
+	c.Assert(first.kind, qt.Equals, outcome.Run, qt.Commentf("%s", first.body))
+	for i := range f.nodes {
+		again := f.book(i, "van-1")
+		c.Check(again.kind, qt.Equals, outcome.Run)
+		c.Check(again.status, qt.Equals, first.status)
+		c.Check(string(again.body), qt.Equals, string(first.body))
+		c.Check(again.header.Get(answer.HeaderTarget), qt.Equals, first.header.Get(answer.HeaderTarget))
+	}
+	other := sending{
+		method: "POST", url: f.url(1, "/book"), id: "van-1", body: "another rug",
+		header: map[string]string{"Idempotency-Key": "van-1"},
+	}.send()
+	c.Check(other.kind, qt.Equals, outcome.NotRun)
+	c.Check(other.reason, qt.Equals, string(outcome.ReasonKeyReused))
+	c.Check(f.ledger.Runs("van-1"), qt.HasLen, 1)
+}
+
+func TestRepeatAfterTheHomeCrashedIsReplayed(t *testing.T) {
+	c := qt.New(t)
+	f := startBookings(c, 4)
+	c.Assert(f.book(0, "van-1").kind, qt.Equals, outcome.Run)
+	home := f.holder(c)
+	f.nodes[home].Kill()
+	again := f.book((home+1)%4, "van-1")
+	c.Check(again.kind, qt.Equals, outcome.Run, qt.Commentf("%s", again.body))
+	next := f.book((home+2)%4, "van-2")
+	c.Check(next.kind, qt.Equals, outcome.Run, qt.Commentf("%s", next.body))
+	c.Check(f.ledger.Runs("van-1"), qt.HasLen, 1)
+	c.Check(f.ledger.Runs("van-2"), qt.HasLen, 1)
+}
+
+// The home is paused while a target has the booking, replaced, and woken.
+func TestRepeatWhileTheHomeIsPausedIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	f := startBookings(c, 4)
+	c.Assert(f.book(0, "van-0").kind, qt.Equals, outcome.Run)
+	home := f.holder(c)
+	first := make(chan reply, 1)
+	go func() { first <- f.book((home+1)%4, "van-1", answer.HeaderWork, "1s") }()
+	c.Assert(eventually(func() bool { return len(f.ledger.Runs("van-1")) == 1 }), qt.IsTrue)
+	c.Assert(f.nodes[home].Pause(), qt.IsNil)
+	again := f.book((home+2)%4, "van-1", answer.HeaderWork, "1s")
+	c.Check(again.kind, qt.Equals, outcome.Unknown, qt.Commentf("%s %s", again.reason, again.body))
+	c.Assert(f.nodes[home].Resume(), qt.IsNil)
+	c.Check((<-first).kind, qt.Not(qt.Equals), outcome.NotRun)
+	last := f.book(home, "van-1", answer.HeaderWork, "1s")
+	c.Check(last.kind, qt.Not(qt.Equals), outcome.NotRun)
+	c.Check(f.ledger.Runs("van-1"), qt.HasLen, 1)
+}
+
+func TestBookingsGoOnWhileTheStoreIsAway(t *testing.T) {
+	c := qt.New(t)
+	f := startBookings(c, 4)
+	c.Assert(f.book(0, "van-0").kind, qt.Equals, outcome.Run)
+	f.store.Store.SetFaults(memory.Faults{Away: true})
+	for i := range 4 {
+		id := fmt.Sprint("van-away-", i)
+		r := f.book(i, id)
+		c.Check(r.kind, qt.Equals, outcome.Run, qt.Commentf("%s", r.body))
+		again := f.book((i+1)%4, id)
+		c.Check(again.kind, qt.Equals, outcome.Run)
+		c.Check(f.ledger.Runs(id), qt.HasLen, 1)
+	}
+}
+
+func TestBookingsAfterStoreWritesWhoseRepliesWereLost(t *testing.T) {
+	c := qt.New(t)
+	f := startBookings(c, 3)
+	f.store.Store.SetFaults(memory.Faults{LoseReplies: 2})
+	r := f.book(0, "van-1")
+	c.Check(r.kind, qt.Equals, outcome.Run, qt.Commentf("%s", r.body))
+	c.Check(f.book(1, "van-1").kind, qt.Equals, outcome.Run)
+	c.Check(f.ledger.Runs("van-1"), qt.HasLen, 1)
+}
+
+func TestKeyWithoutAStoreIsRefused(t *testing.T) {
+	c := qt.New(t)
+	targets, ini := startTargets(c, "bookings", target.Config{})
+	f := &bookingFleet{fleet: startFleet(c, 1, bookingConfig+ini), ledger: targets[0].Ledger()}
+	r := f.book(0, "van-1")
+	c.Check(r.kind, qt.Equals, outcome.NotRun)
+	c.Check(r.reason, qt.Equals, string(outcome.ReasonNoClaim))
+	c.Check(f.ledger.Runs("van-1"), qt.HasLen, 0)
+}
+
+// eventually waits, generously, until cond holds.
+func eventually(cond func() bool) bool {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return true
+		}
+	}
+	return false
+}
--- a/node/control.go
+++ b/node/control.go
@@ -32,12 +32,14 @@
 	leaving map[string]bool
 	pools   map[string]*servicePool
 	poison  *poison.Tracker
+	once    onceState
 	seed    uint64
 }
 
 // environment is what the control goroutine needs of its node.
 type environment interface {
 	event.Sink
+	onceEnvironment
 	// probe asks for an observation of a target; the answer comes as a command.
 	probe(service, target, address, path string, origin pool.Origin)
 }
@@ -53,6 +55,7 @@
 		leaving: make(map[string]bool),
 		pools:   make(map[string]*servicePool),
 		poison:  poison.NewTracker(poison.DefaultConfig()),
+		once:    newOnceState(),
 		seed:    seed,
 	}
 }
@@ -103,6 +106,9 @@
 			wait = min(wait, max(next.Sub(now), time.Millisecond))
 		}
 	}
+	for _, s := range c.once.homes {
+		wait = min(wait, s.tick(now))
+	}
 	return wait
 }
 
--- a/node/drain.go
+++ b/node/drain.go
@@ -12,6 +12,7 @@
 	n.ready.Store(false)
 	n.draining.Store(true)
 	n.log.Info("draining", "delay", n.settings.DrainDelay.String(), "timeout", n.settings.DrainTimeout.String())
+	n.control.send(witnessLeavingCommand{})
 	n.membership.leave()
 	time.Sleep(n.settings.DrainDelay)
 	deadline := time.Now().Add(n.settings.DrainTimeout)
--- a/node/entry.go
+++ b/node/entry.go
@@ -43,7 +43,7 @@
 		done()
 		return
 	}
-	n.run(c, ctx, r, peerSide, n.runHere, done)
+	n.run(c, ctx, r, peerSide, n.runAtHome, done)
 }
 
 // run serves an accepted request and answers it.
@@ -93,6 +93,9 @@
 		deadline:   time.Now().Add(timeout),
 		onward:     onwardRequest(h),
 	}
+	if err := r.setKey(h); err != nil {
+		return nil, refused(outcome.ReasonBadRequest, err.Error())
+	}
 	return n.withBody(ctx, r)
 }
 
@@ -124,6 +127,9 @@
 		deadline:   time.Now().Add(time.Duration(left) * time.Millisecond),
 		onward:     onwardRequest(h),
 	}
+	if err := r.setKey(h); err != nil {
+		return nil, refused(outcome.ReasonBadRequest, err.Error())
+	}
 	return n.withBody(ctx, r)
 }
 
--- a/node/forward.go
+++ b/node/forward.go
@@ -23,13 +23,13 @@
 
 // serve runs a request here or at its service's home.
 func (n *Node) serve(ctx context.Context, r *request) result {
-	if r.service.Variant == dynamic.VariantDirect {
+	if r.service.Variant == dynamic.VariantDirect && r.key == "" {
 		return n.runHere(ctx, r)
 	}
 	last := refused(outcome.ReasonNoHome, "")
 	for _, m := range n.homes(r.service.Name) {
 		if m.Name() == n.settings.Name {
-			return combine(last, n.runHere(ctx, r))
+			return combine(last, n.runAtHome(ctx, r))
 		}
 		res, next := n.forward(ctx, r, m)
 		res = combine(last, res)
@@ -79,7 +79,7 @@
 	switch {
 	case errors.Is(context.Cause(hop), errHomeUnresponsive):
 		n.suspect(m.Name())
-		return refused(outcome.ReasonHomeLost, errHomeUnresponsive.Error()), r.resendable()
+		return refused(outcome.ReasonHomeLost, errHomeUnresponsive.Error()), r.resendableToHome()
 	case f.Cause == exchange.CauseCancelled || f.Cause == exchange.CauseRequestBody:
 		return refused(outcome.ReasonCallerLeft, f.Error()), false
 	case f.NotSent() && ctx.Err() == nil:
@@ -91,7 +91,7 @@
 		return refused(outcome.ReasonTimeout, f.Error()), false
 	}
 	n.suspect(m.Name())
-	return refused(outcome.ReasonHomeLost, f.Error()), r.resendable()
+	return refused(outcome.ReasonHomeLost, f.Error()), r.resendableToHome()
 }
 
 // hopResult reads the answer of a home.
--- a/node/home.go
+++ b/node/home.go
@@ -28,6 +28,8 @@
 	id      pool.RequestID
 	// crashed says that nothing listened at the target after it broke off.
 	crashed bool
+	// release frees the context of the exchange.
+	release context.CancelFunc
 }
 
 // runHere runs a request on the targets of its service, as their home.
@@ -41,10 +43,11 @@
 			if try > 1 {
 				return last
 			}
-			return result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter)}
+			return result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter), unsent: true}
 		}
 		a := n.try(ctx, r, g, id)
 		res := n.conclude(r, a)
+		res.unsent = a.unsent() && (try == 1 || last.unsent)
 		if try > 1 {
 			res = combine(last, res)
 		}
@@ -61,6 +64,11 @@
 	}
 }
 
+// unsent reports whether no byte of the request was written.
+func (a *attempt) unsent() bool {
+	return a.failure != nil && a.failure.NotSent()
+}
+
 // admit waits until the Scheduler starts the request on a target or refuses it.
 func (n *Node) admit(ctx context.Context, r *request, exclude []string) (grant, pool.RequestID) {
 	id := pool.RequestID(n.lastID.Add(1))
@@ -101,6 +109,7 @@
 	out := r.copyOnward()
 	out.Header.Set(headerTimeout, strconv.FormatInt(r.timeLeft(a.start), 10))
 	out.Header.Set(headerRequestID, r.id)
+	ctx, a.release = r.untilEnd(ctx)
 	a.answer, a.failure = n.client.Do(ctx, exchange.Call{
 		Address:          g.address,
 		Request:          out,
@@ -219,6 +228,7 @@
 	if a.answer != nil {
 		_ = a.answer.Body.Close()
 	}
+	a.release()
 	n.control.send(finishCommand{
 		service: r.service.Name,
 		id:      a.id,
--- a/node/homecheck.go
+++ b/node/homecheck.go
@@ -21,7 +21,7 @@
 // the home no longer answers control messages either. Only requests that may be
 // sent again are guarded: ending the others would gain nothing.
 func (n *Node) guardHome(ctx context.Context, r *request, m fleet.Member) (context.Context, context.CancelFunc) {
-	if !r.resendable() {
+	if !r.resendableToHome() {
 		return context.WithCancel(ctx)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
--- /dev/null
+++ b/node/idempotencykey.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"crypto/sha256"
+	"strconv"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/once"
+)
+
+// headerIdempotencyKey is the caller's key for a request that may run once only.
+const headerIdempotencyKey = "Idempotency-Key"
+
+// maxKeyLength is the longest idempotency key, in bytes.
+const maxKeyLength = 200
+
+var (
+	errKeyTwice  = errors.New("the request has more than one " + headerIdempotencyKey)
+	errKeyLength = errors.Newf("the %s is empty or longer than %d bytes", headerIdempotencyKey, maxKeyLength)
+)
+
+// readKey returns the idempotency key of a request, or "" if it has none.
+func readKey(h *protocol.RequestHeader) (once.Key, error) {
+	var keys []string
+	s := ext.HeaderScanner{B: h.RawHeaders()}
+	for s.Next() {
+		if strings.EqualFold(string(s.Key), headerIdempotencyKey) {
+			keys = append(keys, strings.TrimSpace(string(s.Value)))
+		}
+	}
+	switch {
+	case len(keys) == 0:
+		return "", nil
+	case len(keys) > 1:
+		return "", errKeyTwice
+	case keys[0] == "" || len(keys[0]) > maxKeyLength:
+		return "", errKeyLength
+	}
+	return once.Key(keys[0]), nil
+}
+
+// setKey takes the request's key, unless it may run more than once anyway. A
+// key belongs to the host name that the request names.
+func (r *request) setKey(h *protocol.RequestHeader) error {
+	key, err := readKey(h)
+	if err != nil || key == "" || r.idempotent {
+		return err
+	}
+	r.key = once.Key(hostName(string(h.Host()))) + "/" + key
+	return nil
+}
+
+// askedFor returns the digest of what a keyed request asks for. Of a body too
+// large to hold it covers the start and the length.
+func (r *request) askedFor() once.Digest {
+	d := sha256.New()
+	for _, part := range [][]byte{r.onward.Header.Method(), r.onward.Header.RequestURI()} {
+		d.Write(part)
+		d.Write([]byte{0})
+	}
+	if r.body.stream == nil {
+		d.Write(r.body.small)
+	} else {
+		d.Write(r.body.head)
+		d.Write([]byte(strconv.Itoa(r.body.length)))
+	}
+	return once.Digest(d.Sum(nil))
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -55,6 +55,9 @@
 		m.close()
 		return nil, err
 	}
+	if cfg.Store != nil {
+		n.tenures = cfg.Store
+	}
 	m.agent = fleet.NewAgent(cfg, time.Now())
 	return m, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/config/static"
 	"filbertmill.example/exchange"
+	"filbertmill.example/once"
 )
 
 // Node is one process of the fleet.
@@ -26,10 +28,14 @@
 	stats      *stats
 	reports    *reports
 	inForce    configInForce
-	lastID     atomic.Uint64
-	inFlight   atomic.Int64
-	draining   atomic.Bool
-	ready      atomic.Bool
+	// self is this run of the process, as homes and witnesses know it.
+	self     once.Member
+	tenures  tenureStore
+	copies   *copyBox
+	lastID   atomic.Uint64
+	inFlight atomic.Int64
+	draining atomic.Bool
+	ready    atomic.Bool
 
 	callers *listener
 	peers   *listener
@@ -45,6 +51,8 @@
 		client:   exchange.NewClient(exchange.Options{Name: settings.Name}),
 		stats:    newStats(),
 		reports:  newReports(settings.EventRing, time.Now()),
+		self:     once.Member{Name: settings.Name, Incarnation: rand.Uint64()},
+		copies:   newCopyBox(),
 	}
 	n.inForce.effective = n.applyEffective
 	n.control = newControlLoop(n, seedOf(settings.Name))
@@ -54,6 +62,7 @@
 		return nil, err
 	}
 	n.connectReports(n.membership.transport)
+	n.connectWitness(n.membership.transport)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		n.membership.close()
--- /dev/null
+++ b/node/onceservice.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"time"
+
+	"filbertmill.example/once"
+	"filbertmill.example/outcome"
+)
+
+// minOnceTick is the least time between two looks at a Home.
+const minOnceTick = 10 * time.Millisecond
+
+// candidateInterval is the time between two updates of the possible witnesses.
+const candidateInterval = time.Second
+
+// onceEnvironment is what the claims of keyed requests need of their node. Its
+// methods do not block; the answers come as commands.
+type onceEnvironment interface {
+	// member is this run of this node's process.
+	member() once.Member
+	// witnessCandidates names the nodes that may be witnesses, best first.
+	witnessCandidates(service string) []string
+	// sendWitness sends a message to a witness of a service.
+	sendWitness(service string, op once.OpID, to once.Member, m once.Message)
+	// readTenure and writeTenure reach the service's record in the store.
+	readTenure(service string, op once.OpID)
+	writeTenure(service string, op once.OpID, t once.Tenure, after once.Revision)
+}
+
+// onceService ties one service's Home to the node; it is the Home's Delegate
+// and belongs to the control goroutine.
+type onceService struct {
+	control    *controlLoop
+	service    string
+	home       *once.Home
+	waiting    map[once.RequestID]chan<- claimVerdict
+	candidates time.Time
+}
+
+// claimVerdict answers a claim: the request may be dispatched, or ends so.
+type claimVerdict struct {
+	dispatch bool
+	result   once.Result
+}
+
+// onceState holds the claims of keyed requests of all services.
+type onceState struct {
+	homes     map[string]*onceService
+	witnesses map[string]*once.Witness
+	leaving   bool
+}
+
+func newOnceState() onceState {
+	return onceState{homes: make(map[string]*onceService), witnesses: make(map[string]*once.Witness)}
+}
+
+// onceHome returns the Home of a service, made on first use.
+func (c *controlLoop) onceHome(service string) *onceService {
+	s := c.once.homes[service]
+	if s == nil {
+		s = &onceService{control: c, service: service, waiting: make(map[once.RequestID]chan<- claimVerdict)}
+		s.home = once.NewHome(once.DefaultConfig(), c.env.member(), s)
+		c.once.homes[service] = s
+	}
+	return s
+}
+
+// onceWitness returns the Witness of a service, made on first use.
+func (c *controlLoop) onceWitness(service string) *once.Witness {
+	w := c.once.witnesses[service]
+	if w == nil {
+		w = once.NewWitness(once.DefaultConfig(), c.env.member())
+		w.SetLeaving(c.once.leaving)
+		c.once.witnesses[service] = w
+	}
+	return w
+}
+
+// updateCandidates tells the Home which nodes may be witnesses.
+func (s *onceService) updateCandidates(now time.Time) {
+	if now.Sub(s.candidates) < candidateInterval {
+		return
+	}
+	s.candidates = now
+	s.home.SetCandidates(s.control.env.witnessCandidates(s.service))
+}
+
+// tick does what is due and returns the time until more is.
+func (s *onceService) tick(now time.Time) time.Duration {
+	next := s.home.Next()
+	if next.IsZero() {
+		return idleTick
+	}
+	if !next.After(now) {
+		s.updateCandidates(now)
+		s.home.Tick(now)
+		next = s.home.Next()
+	}
+	return max(next.Sub(now), minOnceTick)
+}
+
+// Dispatch implements once.Delegate.
+func (s *onceService) Dispatch(id once.RequestID) {
+	s.answer(id, claimVerdict{dispatch: true})
+}
+
+// Reply implements once.Delegate.
+func (s *onceService) Reply(id once.RequestID, r once.Result) {
+	s.answer(id, claimVerdict{result: r})
+}
+
+// answer hands a verdict to the goroutine that waits for it.
+func (s *onceService) answer(id once.RequestID, v claimVerdict) {
+	if ch, ok := s.waiting[id]; ok {
+		delete(s.waiting, id)
+		ch <- v
+	}
+}
+
+// Send implements once.Delegate.
+func (s *onceService) Send(op once.OpID, to once.Member, m once.Message) {
+	s.control.env.sendWitness(s.service, op, to, m)
+}
+
+// Read implements once.Delegate.
+func (s *onceService) Read(op once.OpID) {
+	s.control.env.readTenure(s.service, op)
+}
+
+// Write implements once.Delegate.
+func (s *onceService) Write(op once.OpID, t once.Tenure, after once.Revision) {
+	s.control.env.writeTenure(s.service, op, t, after)
+}
+
+// claimCommand asks for leave to dispatch; the verdict comes on reply, which
+// must have room for one.
+type claimCommand struct {
+	service string
+	request once.Request
+	reply   chan<- claimVerdict
+}
+
+func (m claimCommand) apply(c *controlLoop, now time.Time) {
+	s := c.onceHome(m.service)
+	s.updateCandidates(now)
+	s.waiting[m.request.ID] = m.reply
+	s.home.Submit(now, m.request)
+}
+
+// withdrawCommand ends the wait for a verdict. A dispatch that crossed it is
+// taken back: nothing was sent.
+type withdrawCommand struct {
+	service string
+	request once.Request
+	reply   <-chan claimVerdict
+}
+
+func (m withdrawCommand) apply(c *controlLoop, now time.Time) {
+	s := c.onceHome(m.service)
+	if _, ok := s.waiting[m.request.ID]; ok {
+		delete(s.waiting, m.request.ID)
+		s.home.Cancel(now, m.request)
+		return
+	}
+	if v := <-m.reply; v.dispatch {
+		s.home.Finish(now, m.request.ID, notDispatched())
+	}
+}
+
+// notDispatched is the end of a claim whose request was never sent, for those
+// who waited behind it.
+func notDispatched() once.Result {
+	return once.Result{Outcome: outcome.New(outcome.ReasonNoClaim, "the request ahead of this one was withdrawn", 0)}
+}
+
+// claimEndCommand reports the end of a dispatched request.
+type claimEndCommand struct {
+	service string
+	id      once.RequestID
+	result  once.Result
+}
+
+func (m claimEndCommand) apply(c *controlLoop, now time.Time) {
+	c.onceHome(m.service).home.Finish(now, m.id, m.result)
+}
+
+// ackCommand brings a witness's answer.
+type ackCommand struct {
+	service  string
+	op       once.OpID
+	ack      once.Ack
+	answered bool
+}
+
+func (m ackCommand) apply(c *controlLoop, now time.Time) {
+	c.onceHome(m.service).home.Received(now, m.op, m.ack, m.answered)
+}
+
+// tenureReadCommand brings the record from the store.
+type tenureReadCommand struct {
+	service  string
+	op       once.OpID
+	tenure   once.Tenure
+	revision once.Revision
+	ok       bool
+}
+
+func (m tenureReadCommand) apply(c *controlLoop, now time.Time) {
+	c.onceHome(m.service).home.HaveRead(now, m.op, m.tenure, m.revision, m.ok)
+}
+
+// tenureWrittenCommand brings the end of a write to the store.
+type tenureWrittenCommand struct {
+	service  string
+	op       once.OpID
+	revision once.Revision
+	ok       bool
+}
+
+func (m tenureWrittenCommand) apply(c *controlLoop, now time.Time) {
+	c.onceHome(m.service).home.HaveWritten(now, m.op, m.revision, m.ok)
+}
+
+// witnessCommand has this node's witness of a service handle a message; the
+// answer comes on reply, which must have room for one.
+type witnessCommand struct {
+	service string
+	to      once.Member
+	message once.Message
+	reply   chan<- once.Ack
+}
+
+func (m witnessCommand) apply(c *controlLoop, now time.Time) {
+	m.reply <- c.onceWitness(m.service).Receive(now, m.to, m.message)
+}
+
+// witnessLeavingCommand has homes replace this node as a witness.
+type witnessLeavingCommand struct{}
+
+func (witnessLeavingCommand) apply(c *controlLoop, _ time.Time) {
+	c.once.leaving = true
+	for _, w := range c.once.witnesses {
+		w.SetLeaving(true)
+	}
+}
--- a/node/request.go
+++ b/node/request.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"filbertmill.example/config/dynamic"
+	"filbertmill.example/once"
 	"filbertmill.example/outcome"
 )
 
@@ -20,6 +21,8 @@
 	deadline   time.Time
 	onward     *protocol.Request
 	body       *requestBody
+	// key is set if the request may be run once only and its caller named it.
+	key once.Key
 }
 
 // result is what became of a request at this node. Answer is set if a target
@@ -28,6 +31,8 @@
 	outcome  outcome.Outcome
 	response *protocol.Response
 	body     *answerBody
+	// unsent says that no byte of the request went to a target.
+	unsent bool
 	// settle must be called once the answer was passed on, with the error that
 	// ended it or nil.
 	settle func(err error)
@@ -49,6 +54,21 @@
 	return r.idempotent && r.body.replayable()
 }
 
+// resendableToHome reports whether another home may be asked although an
+// earlier one may have run the request: a key's claim keeps it from running twice.
+func (r *request) resendableToHome() bool {
+	return r.resendable() || (r.key != "" && r.body.replayable())
+}
+
+// untilEnd returns the context of an exchange with a target. A keyed request
+// goes on after its caller left, so that the caller can ask for its outcome.
+func (r *request) untilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	if r.key == "" {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+}
+
 // copyOnward returns a copy of the onward request with the body attached.
 func (r *request) copyOnward() *protocol.Request {
 	out := &protocol.Request{}
--- a/node/servicepool_test.go
+++ b/node/servicepool_test.go
@@ -13,6 +13,7 @@
 
 // recorder is an environment that keeps the events.
 type recorder struct {
+	onceEnvironment
 	events []event.Event
 }
 
