--- a/integration/caller_test.go
+++ b/integration/caller_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -27,6 +28,8 @@
 	id     string
 	body   string
 	header map[string]string
+	// patience is how long the caller waits; 0 means the longest.
+	patience time.Duration
 }
 
 // caller sends each request on a connection of its own.
@@ -37,7 +40,13 @@
 
 // send sends a request and reads the whole answer.
 func (s sending) send() reply {
-	req, err := http.NewRequest(s.method, s.url, strings.NewReader(s.body))
+	ctx := context.Background()
+	if s.patience > 0 {
+		limited, cancel := context.WithTimeout(ctx, s.patience)
+		defer cancel()
+		ctx = limited
+	}
+	req, err := http.NewRequestWithContext(ctx, s.method, s.url, strings.NewReader(s.body))
 	if err != nil {
 		return reply{failure: err}
 	}
--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"filbertmill.example/platform/memory"
 	"filbertmill.example/platform/standin"
 	"filbertmill.example/testbed/answer"
+	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/target"
 )
 
@@ -33,6 +35,10 @@
 	store   *standin.Standin
 	targets []*target.Target
 	ledger  *target.Ledger
+	// proxies stand between the fleet and each target.
+	proxies []*faultproxy.Proxy
+	// notRun holds the sendings of each booking that were called not run.
+	notRun map[string][]int
 }
 
 // startBookings starts n nodes, a store and four targets.
@@ -43,11 +49,21 @@
 	ledger := target.NewLedger()
 	cfg := target.Config{Ledger: ledger, Work: 2 * time.Millisecond, CrashFor: 50 * time.Millisecond}
 	targets, ini := startTargets(c, "bookings", cfg, cfg, cfg, cfg)
+	var proxies []*faultproxy.Proxy
+	for _, t := range targets {
+		p, err := faultproxy.Listen("127.0.0.1:0", t.Address())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(p.Close)
+		proxies = append(proxies, p)
+		ini = strings.Replace(ini, t.Address(), p.Address(), 1)
+	}
 	publisher := &publish.Publisher{Store: store.Store}
 	_, err = publisher.Apply(c.Context(), publish.Change{File: "fleet.ini", Text: []byte(bookingConfig + ini), Author: "test"})
 	c.Assert(err, qt.IsNil)
 	f := startNodes(c, n, "store = "+store.URL())
-	return &bookingFleet{fleet: f, store: store, targets: targets, ledger: ledger}
+	return &bookingFleet{
+		fleet: f, store: store, targets: targets, ledger: ledger, proxies: proxies, notRun: make(map[string][]int),
+	}
 }
 
 // book sends a booking through the i-th node.
--- a/node/forward.go
+++ b/node/forward.go
@@ -70,8 +70,13 @@
 		return n.forwardFailed(ctx, hop, r, m, f)
 	}
 	res := hopResult(ans, body, release)
-	again := res.outcome.Reason == outcome.ReasonShutdown && r.body.replayable()
-	return res, again
+	return res, declined(res.outcome.Reason) && r.body.replayable()
+}
+
+// declined reports whether a home gave a request back for another to serve: it
+// is shutting down, or has no configuration with the route yet.
+func declined(r outcome.Reason) bool {
+	return r == outcome.ReasonShutdown || r == outcome.ReasonNoRoute
 }
 
 // forwardFailed says what became of a request whose hop to the home failed.
