exchange: a stated length bounds what is read

Cause: hertz's body stream reads as much as the buffer holds, also past a stated length, so that a doubled answer's bytes became part of the first body (and a pipelined request's bytes part of the one before it). Change: both readers are bounded by the stated length. Before: TestReuse/doubled failed, the body read timed out; after: it passes, also under -race.

--- a/exchange/body.go
+++ b/exchange/body.go
@@ -64,6 +64,10 @@
 		b.finish(io.EOF)
 		return 0, b.end
 	}
+	// hertz's stream may read past a stated length if the buffer allows it.
+	if b.length >= 0 {
+		p = p[:min(int64(len(p)), b.length-b.read)]
+	}
 	n, err := b.src.Read(p)
 	b.read += int64(n)
 	if b.limit > 0 && b.read > b.limit {
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,232 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	qt "github.com/frankban/quicktest"
+)
+
+// scripted is a server that answers each request on a connection with the
+// next of its raw answers; %A stands for the request's attempt.
+type scripted struct {
+	ln    net.Listener
+	conns chan net.Conn
+	// bodies receives what each request's body read gave.
+	bodies chan error
+}
+
+// serveScript starts a scripted server; each connection runs the same script.
+func serveScript(c *qt.C, answers ...string) *scripted {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { ln.Close() })
+	s := &scripted{ln: ln, conns: make(chan net.Conn, 16), bodies: make(chan error, 16)}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- nc
+			go s.run(nc, answers)
+		}
+	}()
+	return s
+}
+
+// run plays the script; an answer that ends in "<cut>" closes the connection.
+func (s *scripted) run(nc net.Conn, answers []string) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for _, a := range answers {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, req.Body)
+		s.bodies <- err
+		text, cut := strings.CutSuffix(a, "<cut>")
+		text = strings.ReplaceAll(text, "%A", req.Header.Get(AttemptHeader))
+		if _, err := io.WriteString(nc, text); err != nil || cut {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, br)
+}
+
+// get runs one exchange and reads its body.
+func get(c *qt.C, cl *Client, s *scripted) (string, error) {
+	ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
+	defer cancel()
+	return getWithin(ctx, cl, s)
+}
+
+func getWithin(ctx context.Context, cl *Client, s *scripted) (string, error) {
+	r := &protocol.Request{}
+	r.Header.SetHost("test")
+	r.Header.SetRequestURI("/")
+	ans, f := cl.Do(ctx, Call{Address: s.ln.Addr().String(), Request: r, MaxResponseBytes: 1 << 20})
+	if f != nil {
+		return "", f
+	}
+	defer ans.Body.Close()
+	b, err := io.ReadAll(ans.Body)
+	return string(b), err
+}
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nFilbertmill-Attempt: %A\r\nContent-Length: 5\r\n\r\nwhole"
+
+// Only a body whose end is proved is passed on as whole.
+func TestAnswerEnds(t *testing.T) {
+	tests := []struct {
+		desc   string
+		answer string
+		want   string
+		stage  Stage
+		cause  Cause
+	}{
+		{desc: "stated length", answer: wholeAnswer, want: "whole"},
+		{desc: "chunked", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", want: "whole"},
+		{desc: "interim answer first", answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + wholeAnswer, want: "whole"},
+		{desc: "length cut", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut<cut>", stage: StageReceive, cause: CauseConnection},
+		{desc: "chunk cut", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ncut<cut>", stage: StageReceive, cause: CauseConnection},
+		{desc: "cut between chunks", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n<cut>", stage: StageReceive, cause: CauseConnection},
+		{desc: "no length and no chunks", answer: "HTTP/1.1 200 OK\r\n\r\nuntil the end<cut>", stage: StageReceive, cause: CauseMalformed},
+		{desc: "longer than allowed", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n", stage: StageReceive, cause: CauseMalformed},
+		{desc: "headers cut", answer: "HTTP/1.1 200 OK\r\nContent-Le<cut>", stage: StageAwait, cause: CauseConnection},
+		{desc: "no answer", answer: "<cut>", stage: StageAwait, cause: CauseConnection},
+		{desc: "another attempt's answer", answer: "HTTP/1.1 200 OK\r\nFilbertmill-Attempt: other\r\nContent-Length: 1\r\n\r\nx", stage: StageReceive, cause: CauseMalformed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			got, err := get(c, NewClient(Options{Name: "t"}), serveScript(c, tt.answer))
+			if tt.want != "" {
+				c.Assert(err, qt.IsNil)
+				c.Check(got, qt.Equals, tt.want)
+				return
+			}
+			var f *Failure
+			c.Assert(errors.As(err, &f), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(f.Stage, qt.Equals, tt.stage)
+			c.Check(f.Cause, qt.Equals, tt.cause)
+		})
+	}
+}
+
+// A connection is used again only if its last answer named its own attempt
+// and nothing follows it.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		desc  string
+		first string
+		conns int
+	}{
+		{desc: "verified", first: wholeAnswer, conns: 1},
+		{desc: "not verified", first: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", conns: 2},
+		{desc: "closing", first: "HTTP/1.1 200 OK\r\nFilbertmill-Attempt: %A\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", conns: 2},
+		{desc: "doubled", first: wholeAnswer + wholeAnswer, conns: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			s := serveScript(c, tt.first, wholeAnswer)
+			cl := NewClient(Options{Name: "t"})
+			for range 2 {
+				got, err := get(c, cl, s)
+				c.Assert(err, qt.IsNil)
+				c.Assert(got, qt.Equals, "whole")
+			}
+			c.Check(s.conns, qt.HasLen, tt.conns)
+		})
+	}
+}
+
+// An idle connection that the other end closes or writes to is given up.
+func TestIdleConnectionWatched(t *testing.T) {
+	for _, late := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"} {
+		c := qt.New(t)
+		s := serveScript(c, wholeAnswer, wholeAnswer)
+		cl := NewClient(Options{Name: "t"})
+		_, err := get(c, cl, s)
+		c.Assert(err, qt.IsNil)
+		nc := <-s.conns
+		if late == "" {
+			nc.Close()
+		} else {
+			_, _ = io.WriteString(nc, late)
+		}
+		for cl.Open() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		got, err := get(c, cl, s)
+		c.Assert(err, qt.IsNil)
+		c.Check(got, qt.Equals, "whole")
+	}
+}
+
+// An exchange that timed out takes its connection with it, so that its late
+// answer reaches nobody.
+func TestTimeoutClosesConnection(t *testing.T) {
+	c := qt.New(t)
+	s := serveScript(c, "")
+	cl := NewClient(Options{Name: "t"})
+	ctx, cancel := context.WithTimeout(c.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := getWithin(ctx, cl, s)
+	var f *Failure
+	c.Assert(errors.As(err, &f), qt.IsTrue)
+	c.Check(f.Stage, qt.Equals, StageAwait)
+	c.Check(f.Cause, qt.Equals, CauseTimeout)
+	c.Check(cl.Open(), qt.Equals, int64(0))
+}
+
+// failingReader is a request body that breaks off.
+type failingReader struct{ left int }
+
+func (r *failingReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, errors.New("the caller left")
+	}
+	r.left--
+	return copy(p, "part"), nil
+}
+
+// A request body that breaks off never looks whole to the target.
+func TestRequestBodyCut(t *testing.T) {
+	for _, length := range []int{-1, 1000} {
+		c := qt.New(t)
+		s := serveScript(c, wholeAnswer)
+		r := &protocol.Request{}
+		r.Header.SetMethod("POST")
+		r.Header.SetHost("test")
+		r.Header.SetRequestURI("/")
+		r.SetBodyStream(&failingReader{left: 3}, length)
+		ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
+		_, f := NewClient(Options{Name: "t"}).Do(ctx, Call{Address: s.ln.Addr().String(), Request: r})
+		cancel()
+		c.Assert(f, qt.IsNotNil)
+		c.Check(f.Cause, qt.Equals, CauseRequestBody)
+		c.Check(<-s.bodies, qt.ErrorIs, io.ErrUnexpectedEOF)
+	}
+}
+
+// A refused connection proves that nothing was sent.
+func TestDialRefused(t *testing.T) {
+	c := qt.New(t)
+	s := serveScript(c)
+	s.ln.Close()
+	_, err := get(c, NewClient(Options{Name: "t"}), s)
+	var f *Failure
+	c.Assert(errors.As(err, &f), qt.IsTrue)
+	c.Check(f.NotSent(), qt.IsTrue)
+}
--- a/node/body.go
+++ b/node/body.go
@@ -36,6 +36,10 @@
 		return &requestBody{small: bytes.Clone(ctx.Request.Body())}, nil
 	}
 	src := ctx.Request.BodyStream()
+	if length >= 0 {
+		// hertz's stream may read past a stated length, into the next request.
+		src = io.LimitReader(src, int64(length))
+	}
 	head, err := io.ReadAll(io.LimitReader(src, replayLimit+1))
 	if err != nil {
 		return nil, err
