--- a/event/event.go
+++ b/event/event.go
@@ -37,6 +37,14 @@
 	KindPoison Kind = "poison"
 )
 
+// Kinds lists all kinds of decision.
+func Kinds() []Kind {
+	return []Kind{
+		KindEjection, KindReturn, KindTargetState, KindFloorHeld, KindCommonCause, KindRefusal, KindShed,
+		KindRetry, KindFailover, KindHomeMove, KindConfiguration, KindPoison,
+	}
+}
+
 // Evidence holds the figures on which a decision was taken. A zero field was
 // not considered by the rule.
 type Evidence struct {
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -64,7 +64,7 @@
 }
 
 // Members returns all members that are not gone, suspected and leaving ones
-// included.
+// included. Callers must not change the list.
 func (a *Agent) Members(ctx context.Context) ([]Member, error) {
 	var members []Member
 	err := a.ask(ctx, func(time.Time) {
--- a/node/events_test.go
+++ b/node/events_test.go
@@ -3,6 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"expvar"
+	"os"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,3 +37,36 @@
 	qt.Assert(t, n.reports.ring.Find(event.Query{}).Events, qt.HasLen, 2)
 	qt.Assert(t, n.stats.events.Get("ejection").String(), qt.Equals, "1")
 }
+
+// logsPage is the operators' page that lists the kinds with their levels and
+// the metrics.
+const logsPage = "../docs/operators/reading-logs-and-metrics.md"
+
+func TestLogsPageAgreesWithTheCode(t *testing.T) {
+	page, err := os.ReadFile(logsPage)
+	qt.Assert(t, err, qt.IsNil)
+	levels := map[event.Kind]string{}
+	for _, row := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\| (info|debug) \\|").FindAllSubmatch(page, -1) {
+		levels[event.Kind(row[1])] = string(row[2])
+	}
+	want := map[event.Kind]string{}
+	for _, k := range event.Kinds() {
+		want[k] = eventLevel(k).String()
+	}
+	qt.Assert(t, levels, qt.DeepEquals, want)
+}
+
+func TestMetricsPageAgreesWithTheCode(t *testing.T) {
+	page, err := os.ReadFile(logsPage)
+	qt.Assert(t, err, qt.IsNil)
+	_, table, _ := strings.Cut(string(page), "| Name | Unit | Meaning |")
+	table, _, _ = strings.Cut(table, "\n\n")
+	listed := map[string]bool{"cmdline": true, "memstats": true}
+	for _, row := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\|").FindAllStringSubmatch(table, -1) {
+		listed[row[1]] = true
+	}
+	newStats().publish(func() any { return nil })
+	published := map[string]bool{}
+	expvar.Do(func(v expvar.KeyValue) { published[v.Key] = true })
+	qt.Assert(t, listed, qt.DeepEquals, published)
+}
