--- a/fleet/status.go
+++ b/fleet/status.go
@@ -63,12 +63,19 @@
 	Homes []ServiceHome `json:"homes"`
 }
 
-// Status asks all members for their state. It costs one call for each member.
-func (a *Agent) Status(ctx context.Context) (Status, error) {
+// Members returns all members that are not gone, suspected and leaving ones
+// included. Callers must not change the list.
+func (a *Agent) Members(ctx context.Context) ([]Member, error) {
 	var members []Member
 	err := a.ask(ctx, func(time.Time) {
 		members = a.table.inState(StateAlive, StateSuspect, StateLeaving)
 	})
+	return members, err
+}
+
+// Status asks all members for their state. It costs one call for each member.
+func (a *Agent) Status(ctx context.Context) (Status, error) {
+	members, err := a.Members(ctx)
 	if err != nil {
 		return Status{}, err
 	}
--- a/node/admin.go
+++ b/node/admin.go
@@ -28,6 +28,7 @@
 	e.GET("/pools", n.handlePools)
 	e.GET("/status", n.handleStatus)
 	e.GET("/revision", n.handleRevision)
+	n.reportRoutes(e)
 	e.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 }
 
