--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -7,7 +7,9 @@
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
 	"filbertmill.example/pool"
+	"filbertmill.example/retry"
 )
 
 // servicePool ties one service's Scheduler to the node; it is the Scheduler's
@@ -17,6 +19,7 @@
 	service *dynamic.Service
 	sched   pool.Scheduler
 	address map[string]string
+	retries *retry.Budget
 	waiting map[pool.RequestID]waiter
 	// explained is the attempt whose refusal the Scheduler has just recorded.
 	explained pool.RequestID
@@ -40,7 +43,11 @@
 
 // newServicePool makes the pool of a service with the targets listed for it.
 func newServicePool(c *controlLoop, svc *dynamic.Service, now time.Time) *servicePool {
-	p := &servicePool{control: c, waiting: make(map[pool.RequestID]waiter)}
+	p := &servicePool{
+		control: c,
+		waiting: make(map[pool.RequestID]waiter),
+		retries: retry.NewBudget(retryConfig(svc)),
+	}
 	cfg := poolConfig(svc, c.config.Targets)
 	if svc.Variant == dynamic.VariantDirect {
 		p.sched = pool.NewDirect(cfg, p, c.seed)
@@ -54,6 +61,7 @@
 // configure brings a configuration into force.
 func (p *servicePool) configure(svc *dynamic.Service, now time.Time) {
 	p.service = svc
+	p.retries.SetConfig(retryConfig(svc))
 	p.address = make(map[string]string)
 	var targets []pool.Target
 	for _, t := range p.control.config.Targets {
@@ -150,9 +158,10 @@
 // submitCommand offers an attempt; the grant comes on reply, which must have
 // room for one.
 type submitCommand struct {
-	service string
-	request pool.Request
-	reply   chan<- grant
+	service     string
+	request     pool.Request
+	fingerprint poison.Fingerprint
+	reply       chan<- grant
 	// name is the request's id as the caller gave it.
 	name string
 }
@@ -163,6 +172,12 @@
 		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
 		return
 	}
+	if p.refuseIfPoison(now, m) {
+		return
+	}
+	if len(m.request.Exclude) == 0 {
+		p.retries.Request(now)
+	}
 	p.waiting[m.request.ID] = waiter{reply: m.reply, request: m.name}
 	p.sched.Submit(now, m.request)
 }
@@ -194,11 +209,23 @@
 	service string
 	id      pool.RequestID
 	result  pool.Result
+	attempt attemptEnd
+}
+
+// attemptEnd is what the poison tracker must know of an attempt.
+type attemptEnd struct {
+	target      string
+	route       string
+	request     string
+	fingerprint poison.Fingerprint
+	start       time.Time
+	crashed     bool
 }
 
 func (m finishCommand) apply(c *controlLoop, now time.Time) {
 	if p := c.pools[m.service]; p != nil {
 		p.sched.Finish(now, m.id, m.result)
+		p.judge(now, m)
 	}
 }
 
