--- /dev/null
+++ b/measure/added.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"filbertmill.example/testbed/load"
+	"filbertmill.example/testbed/target"
+)
+
+const (
+	// addedWork is the fixed service time of the requests compared.
+	addedWork = 5 * time.Millisecond
+	// addedShare is the load, as a share of the capacity, at which no queue forms.
+	addedShare = 0.05
+	// straightSlots is more than a straight stand-in ever needs.
+	straightSlots = 1000
+)
+
+// measureIdle measures what nodes cost that have no requests.
+func measureIdle(ctx context.Context, b *bench, r *report) error {
+	length := pick(b.opts, 4*time.Second, 30*time.Second)
+	before := make([]time.Duration, len(b.nodes))
+	for i, p := range b.nodes {
+		var err error
+		if before[i], err = p.cpuTime(); err != nil {
+			return err
+		}
+	}
+	bytesBefore := b.controlBytes()
+	time.Sleep(length)
+	worstCPU, worstRSS := 0.0, 0.0
+	for i, p := range b.nodes {
+		cpu, err := p.cpuTime()
+		if err != nil {
+			return err
+		}
+		rss, err := p.rssMB()
+		if err != nil {
+			return err
+		}
+		worstCPU = max(worstCPU, (cpu-before[i]).Seconds()/length.Seconds())
+		worstRSS = max(worstRSS, rss)
+	}
+	r.add(b, controlCPU, worstCPU)
+	r.add(b, nodeRSS, worstRSS)
+	if bytesAfter := b.controlBytes(); bytesAfter > 0 {
+		r.add(b, controlBytes, (bytesAfter-bytesBefore)/length.Seconds()/float64(len(b.nodes)))
+	}
+	return measureTool(ctx, b, r)
+}
+
+// controlBytes returns the bytes that all nodes have sent for control, or 0 if
+// they do not count them.
+func (b *bench) controlBytes() float64 {
+	total := 0.0
+	for _, p := range b.nodes {
+		var vars struct {
+			ControlBytesSent float64 `json:"control_bytes_sent"`
+		}
+		if p.ask("/debug/vars", &vars) == nil {
+			total += vars.ControlBytesSent
+		}
+	}
+	return total
+}
+
+// measureTool measures what the load tool adds by itself: a bare stand-in
+// without service time, delays or nodes.
+func measureTool(ctx context.Context, b *bench, r *report) error {
+	const rate = 500
+	bare, err := target.Start(target.Config{Name: "bare", Address: "127.0.0.1:0", Slots: straightSlots})
+	if err != nil {
+		return err
+	}
+	defer bare.Close()
+	class := load.Class{Name: "bare", Path: "/", AnswerBytes: 2000}
+	arrivals := load.Arrivals("tool", b.opts.seed, load.Stream{
+		Class: class, Phases: []load.Phase{{For: 3 * time.Second, Rate: rate}},
+	})
+	samples := load.Run(ctx, load.Fixed(b.opts.seed, bare.Address()), arrivals)
+	r.add(b, toolP99, milliseconds(load.Quantile(samples, 99, latency)))
+	return nil
+}
+
+// measureAdded compares requests through the fleet with the same requests
+// straight to a stand-in, over the same distance to the caller and at the same
+// time.
+func measureAdded(ctx context.Context, b *bench, r *report) error {
+	straight, err := target.Start(target.Config{
+		Name: "straight", Address: "127.0.0.1:0", Slots: straightSlots, ConnectTime: target.DefaultConnectTime,
+	})
+	if err != nil {
+		return err
+	}
+	defer straight.Close()
+	way, err := delayed(straight.Address(), clientDelay)
+	if err != nil {
+		return err
+	}
+	defer way.Close()
+
+	arrivals := b.addedArrivals()
+	compared := make(chan []load.Sample)
+	go func() { compared <- load.Run(ctx, load.Fixed(b.opts.seed, way.Address()), arrivals) }()
+	entryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	through := load.Run(ctx, b.entries(entryCtx), arrivals)
+	direct := <-compared
+	writeTally(os.Stderr, through)
+	writeTally(os.Stderr, direct)
+
+	all := b.scenario
+	for _, svc := range []service{b.deployment.lookup, b.deployment.booking} {
+		b.scenario = all + "/" + svc.name
+		of := func(s load.Sample) bool { return s.Class.Name == svc.name && s.Good() }
+		t, d := load.Select(through, of), load.Select(direct, of)
+		added := func(q float64) float64 {
+			return milliseconds(load.Quantile(t, q, latency) - load.Quantile(d, q, latency))
+		}
+		r.add(b, addedP50, added(50))
+		r.add(b, addedP99, added(99))
+	}
+	b.scenario = all
+	addAnswered(b, r, through)
+	addMixedOrCut(b, r, through)
+	return nil
+}
+
+// addedArrivals draws lookups and bookings of a fixed service time.
+func (b *bench) addedArrivals() []load.Arrival {
+	length := pick(b.opts, 6*time.Second, 30*time.Second)
+	var streams []load.Stream
+	for _, svc := range []service{b.deployment.lookup, b.deployment.booking} {
+		svc.class.Work = addedWork
+		svc.class.Exponential = false
+		streams = append(streams, svc.stream(load.Phase{For: length, Rate: addedShare}))
+	}
+	return load.Arrivals("added", b.opts.seed, streams...)
+}
--- /dev/null
+++ b/measure/gray.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"filbertmill.example/event"
+	"filbertmill.example/testbed/load"
+	"filbertmill.example/testbed/target"
+)
+
+const (
+	// grayFailShare and graySlowFactor are the stated gray faults.
+	grayFailShare  = 0.3
+	graySlowFactor = 5
+	// grayOnset is when targets turn gray.
+	grayOnset = 3 * time.Second
+	// grayCrestShare and grayLowShare are loads as shares of the capacity.
+	grayCrestShare = 1.2
+	grayLowShare   = 0.2
+	// grayTarget is the index of the target that turns gray.
+	grayTarget = 2
+)
+
+// grayCase is one target that turns gray.
+type grayCase struct {
+	name     string
+	service  service
+	behavior target.Behavior
+}
+
+func (b *bench) grayCases() []grayCase {
+	return []grayCase{
+		{"failing", b.deployment.lookup, target.Behavior{FailShare: grayFailShare}},
+		{"slow", b.deployment.booking, target.Behavior{SlowFactor: graySlowFactor}},
+	}
+}
+
+// turnGray runs load on the services of the cases and turns a target of each
+// gray at grayOnset. It returns when that was.
+func (b *bench) turnGray(ctx context.Context, share float64, length time.Duration, r *report) time.Time {
+	var streams []load.Stream
+	for _, c := range b.grayCases() {
+		streams = append(streams, c.service.stream(load.Phase{For: grayOnset + length, Rate: share}))
+	}
+	onset := time.Now().Add(grayOnset)
+	after(ctx, grayOnset, func() {
+		for _, c := range b.grayCases() {
+			b.targets[c.service.name][grayTarget].Set(c.behavior)
+		}
+	})
+	samples := b.run(ctx, streams...)
+	addAnswered(b, r, samples)
+	addMixedOrCut(b, r, samples)
+	return onset
+}
+
+// measureGrayCrest measures the time to detect gray targets at a crest. A
+// target that is not detected counts as detected at the end of the run.
+func measureGrayCrest(ctx context.Context, b *bench, r *report) error {
+	length := pick(b.opts, 6*time.Second, 20*time.Second)
+	onset := b.turnGray(ctx, grayCrestShare, length, r)
+	all := b.scenario
+	for _, c := range b.grayCases() {
+		b.scenario = all + "/" + c.name
+		took := length
+		if at := b.ejectedAt(b.grayName(c), onset); !at.IsZero() {
+			took = at.Sub(onset)
+		}
+		r.add(b, detection, took.Seconds())
+	}
+	b.scenario = all
+	r.add(b, falseEjections, b.countFalseEjections(b.grayCases()))
+	return nil
+}
+
+// measureGrayLow measures how many requests a gray target takes at low load
+// until it is detected.
+func measureGrayLow(ctx context.Context, b *bench, r *report) error {
+	length := pick(b.opts, 10*time.Second, 30*time.Second)
+	onset := b.turnGray(ctx, grayLowShare, length, r)
+	all := b.scenario
+	for _, c := range b.grayCases() {
+		b.scenario = all + "/" + c.name
+		name := b.grayName(c)
+		until := b.ejectedAt(name, onset)
+		n := 0
+		for _, run := range b.ledger.All() {
+			if run.Target == name && run.Start.After(onset) && (until.IsZero() || run.Start.Before(until)) {
+				n++
+			}
+		}
+		r.add(b, detectionLow, float64(n))
+	}
+	b.scenario = all
+	r.add(b, falseEjections, b.countFalseEjections(b.grayCases()))
+	return nil
+}
+
+func (b *bench) grayName(c grayCase) string { return b.targets[c.service.name][grayTarget].Name() }
+
+// countFalseEjections counts the ejections of targets that are not gray.
+func (b *bench) countFalseEjections(gray []grayCase) float64 {
+	n := 0
+	for _, d := range b.decisions(event.KindEjection) {
+		if !slices.ContainsFunc(gray, func(c grayCase) bool { return b.grayName(c) == d.Target }) {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+// measureManyGray turns three of four targets gray at once, so that the floor
+// binds.
+func measureManyGray(ctx context.Context, b *bench, r *report) error {
+	length := pick(b.opts, 6*time.Second, 20*time.Second)
+	svc := b.deployment.lookup
+	list := b.targets[svc.name]
+	after(ctx, grayOnset, func() {
+		setAll(list[:len(list)*3/4], target.Behavior{FailShare: 0.9})
+	})
+	samples := b.run(ctx, svc.stream(load.Phase{For: grayOnset + length, Rate: calmShare}))
+	addAnswered(b, r, samples)
+	addMixedOrCut(b, r, samples)
+	return nil
+}
+
+// measureHealthy counts ejections of healthy targets: while it is quiet, while
+// all targets are slow alike, and at a crest.
+func measureHealthy(ctx context.Context, b *bench, r *report) error {
+	phase := pick(b.opts, 3*time.Second, 20*time.Second)
+	const commonSlowness = 3
+	var streams []load.Stream
+	for _, svc := range b.deployment.services() {
+		streams = append(streams, svc.stream(
+			load.Phase{For: phase, Rate: 0.3},
+			load.Phase{For: phase, Rate: 0.3},
+			load.Phase{For: phase, Rate: 0.9},
+		))
+	}
+	for _, list := range b.targets {
+		after(ctx, phase, func() { setAll(list, target.Behavior{SlowFactor: commonSlowness}) })
+		after(ctx, 2*phase, func() { setAll(list, target.Behavior{}) })
+	}
+	samples := b.run(ctx, streams...)
+	r.add(b, falseEjections, b.countFalseEjections(nil))
+	addAnswered(b, r, samples)
+	addMixedOrCut(b, r, samples)
+	return nil
+}
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,156 @@
+// Command measure measures the fleet: real node processes on loopback, with
+// stand-in targets, fault proxies and an open-loop load.
+//
+// Exit codes: 0 each figure of the home variant keeps its bound; 1 the run
+// failed; 2 the command line is wrong; 3 a figure misses its bound.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/testbed/process"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitRed    = 3
+)
+
+// Variants measured.
+const (
+	variantDirect = "direct"
+	variantHome   = "home"
+)
+
+// Faults that are put in on purpose, to see that a measure notices them.
+const (
+	// faultNoFloor gives the nodes a floor of 0.
+	faultNoFloor = "no_floor"
+	// faultRetryBookings tells the nodes that bookings are idempotent.
+	faultRetryBookings = "retry_bookings"
+)
+
+// Numbers of nodes.
+const (
+	quickNodes = 12
+	fullNodes  = 32
+)
+
+type args struct {
+	Out      string `arg:"required" help:"file for the figures, one JSON line each"`
+	Scenario string `help:"run only scenarios whose name contains this, as in lk-central/crest"`
+	Variant  string `help:"run only this variant: direct or home"`
+	Seed     uint64 `default:"1" help:"seed of arrivals, service times and draws"`
+	Quick    bool   `help:"fewer nodes and shorter runs, at most 5 minutes for all"`
+	Nodes    int    `help:"number of nodes [default: 32, with --quick 12]"`
+	Record   string `help:"Markdown file to which the command and the table are added"`
+	Fault    string `help:"fault put in on purpose: no_floor or retry_bookings"`
+}
+
+// options are the settings of a whole run.
+type options struct {
+	seed   uint64
+	quick  bool
+	nodes  int
+	binary string
+	fault  string
+}
+
+// pick returns the first of two values in a quick run, else the second.
+func pick[T any](o options, quick, full T) T {
+	if o.quick {
+		return quick
+	}
+	return full
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	red, err := run(ctx, a)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(exitFailed)
+	}
+	if red > 0 {
+		os.Exit(exitRed)
+	}
+}
+
+// run measures and returns the number of figures that miss their bounds.
+func run(ctx context.Context, a args) (int, error) {
+	dir, err := os.MkdirTemp("", "measure-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	o := options{seed: a.Seed, quick: a.Quick, nodes: a.Nodes, fault: a.Fault}
+	if o.nodes == 0 {
+		o.nodes = pick(o, quickNodes, fullNodes)
+	}
+	if o.binary, err = process.Build(dir); err != nil {
+		return 0, err
+	}
+	out, err := os.Create(a.Out)
+	if err != nil {
+		return 0, err
+	}
+	defer out.Close()
+	r := &report{out: out}
+	start := time.Now()
+	if err := runAll(ctx, a, o, r); err != nil {
+		return 0, err
+	}
+	writeTable(os.Stdout, r.figures)
+	fmt.Printf("took %s\n", time.Since(start).Round(time.Second))
+	if a.Record != "" {
+		err = record(a.Record, o, r.figures)
+	}
+	return len(r.red(variantHome)), err
+}
+
+// runAll runs the chosen scenarios, the variants of each one after the other.
+func runAll(ctx context.Context, a args, o options, r *report) error {
+	for _, d := range deployments() {
+		for _, s := range scenarios() {
+			if !strings.Contains(d.name+"/"+s.name, a.Scenario) || (o.quick && s.once && d.name != deployments()[0].name) {
+				continue
+			}
+			for _, v := range []string{variantDirect, variantHome} {
+				if a.Variant != "" && a.Variant != v {
+					continue
+				}
+				if err := runOne(ctx, o, d, s, v, r); err != nil {
+					return errors.Wrapf(err, "%s/%s, %s", d.name, s.name, v)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func runOne(ctx context.Context, o options, d deployment, s scenario, variant string, r *report) error {
+	fmt.Fprintf(os.Stderr, "%s %s/%s %s\n", time.Now().Format(time.TimeOnly), d.name, s.name, variant)
+	b, err := newBench(ctx, o, d, variant, s.name)
+	defer b.close()
+	if err != nil {
+		return err
+	}
+	if err := s.run(ctx, b, r); err != nil {
+		return err
+	}
+	r.add(b, floorViolations, float64(b.floorViolations()))
+	return ctx.Err()
+}
--- /dev/null
+++ b/measure/scenario.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"filbertmill.example/testbed/load"
+	"filbertmill.example/testbed/target"
+)
+
+// scenario is something that is done with a deployment.
+type scenario struct {
+	name string
+	// once limits the scenario to the first deployment in a quick run.
+	once bool
+	run  func(ctx context.Context, b *bench, r *report) error
+}
+
+// scenarios returns all scenarios in the order in which they run.
+func scenarios() []scenario {
+	return []scenario{
+		{"idle", true, measureIdle},
+		{"added", false, measureAdded},
+		{"crest", false, measureCrest},
+		{"gray_crest", false, measureGrayCrest},
+		{"gray_low", true, measureGrayLow},
+		{"many_gray", true, measureManyGray},
+		{"healthy", false, measureHealthy},
+		{"long", false, measureLong},
+		{"odd_answers", true, measureOddAnswers},
+		{"drain", true, measureDrain},
+		{"bookings", true, measureBookings},
+	}
+}
+
+// latency is a sample's latency, for load.Quantile.
+func latency(s load.Sample) time.Duration { return s.Latency }
+
+// wait is a sample's wait, for load.Quantile.
+func wait(s load.Sample) time.Duration { return s.Wait() }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// addMixedOrCut reports answers that callers took as whole and that were not.
+func addMixedOrCut(b *bench, r *report, samples []load.Sample) {
+	n := 0
+	for _, s := range samples {
+		for _, at := range s.Attempts {
+			if at.Result == load.ResultCut || at.Result == load.ResultMixed {
+				n++
+			}
+		}
+	}
+	r.add(b, mixedOrCut, float64(n))
+}
+
+// addAnswered reports the share of requests answered whole and in time.
+func addAnswered(b *bench, r *report, samples []load.Sample) {
+	r.add(b, answeredRatio, ratio(load.Count(samples, load.Sample.Good), len(samples)))
+}
+
+// after runs something when a time has passed, unless the context ends.
+func after(ctx context.Context, d time.Duration, do func()) {
+	go func() {
+		select {
+		case <-time.After(d):
+			do()
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// setAll gives all targets of a service one behavior.
+func setAll(list []*target.Target, behavior target.Behavior) {
+	for _, t := range list {
+		t.Set(behavior)
+	}
+}
--- a/testbed/faultproxy/fault.go
+++ b/testbed/faultproxy/fault.go
@@ -17,7 +17,8 @@
 // Fault is what happens to the bytes of one direction. The zero value lets
 // them pass at once.
 type Fault struct {
-	// Delay is added to each segment, without changing the order.
+	// Delay is added to each segment, without changing the order. A new
+	// connection costs the sum of both directions' delays.
 	Delay time.Duration `json:"delay,omitempty"`
 	// BlackHole loses all bytes and closings. A connection that lost some
 	// stays silent in that direction, also when BlackHole ends.
--- a/testbed/faultproxy/link.go
+++ b/testbed/faultproxy/link.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"filbertmill.example/testbed/pause"
 )
 
 const (
@@ -101,9 +103,7 @@
 	lost := false
 	ended := false
 	for s := range p.queue {
-		if wait := time.Until(s.due); wait > 0 {
-			time.Sleep(wait)
-		}
+		pause.Until(s.due)
 		ended = len(s.data) == 0
 		lost = p.link.proxy.lose(p.direction, lost, len(s.data))
 		if lost {
--- a/testbed/faultproxy/proxy.go
+++ b/testbed/faultproxy/proxy.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -141,6 +142,7 @@
 		reset(caller)
 		return
 	}
+	time.Sleep(p.roundTrip()) // the handshake that a real distance costs
 	l := &link{proxy: p, caller: caller, upstream: upstream}
 	p.mu.Lock()
 	closed := p.closed
@@ -153,6 +155,13 @@
 	l.run()
 }
 
+// roundTrip is the sum of both delays.
+func (p *Proxy) roundTrip() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults[ToUpstream].Delay + p.faults[ToCaller].Delay
+}
+
 // hold keeps a segment if the direction holds now.
 func (p *Proxy) hold(d Direction, s heldSegment) bool {
 	p.mu.Lock()
--- a/testbed/faultproxy/proxy_test.go
+++ b/testbed/faultproxy/proxy_test.go
@@ -80,7 +80,7 @@
 	qt.Assert(t, string(got), qt.Equals, "rug")
 }
 
-func TestDelayIsAddedOnceForEachDirection(t *testing.T) {
+func TestDelayIsAddedInEachDirection(t *testing.T) {
 	const delay = 30 * time.Millisecond
 	p := echo(t)
 	p.Set(ToUpstream, Fault{Delay: delay})
@@ -89,6 +89,11 @@
 	start := time.Now()
 	send(t, c, "rug")
 	expect(t, c, "rug")
+	qt.Assert(t, time.Since(start) >= 4*delay, qt.IsTrue) // with the handshake
+
+	start = time.Now()
+	send(t, c, "van")
+	expect(t, c, "van")
 	qt.Assert(t, time.Since(start) >= 2*delay, qt.IsTrue)
 }
 
--- a/testbed/load/plan.go
+++ b/testbed/load/plan.go
@@ -29,8 +29,7 @@
 	AnswerBytes int
 	// Patience is how long the caller waits for an answer. Default: 10s.
 	Patience time.Duration
-	// Callers is the number of callers that send the class, named in the
-	// Forwarded header. Default: 1.
+	// Callers is the number of callers that send the class. Default: 1.
 	Callers int
 	// Keyed sends an Idempotency-Key.
 	Keyed bool
--- a/testbed/load/run.go
+++ b/testbed/load/run.go
@@ -8,13 +8,13 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/testbed/answer"
+	"filbertmill.example/testbed/pause"
 )
 
 const (
@@ -22,8 +22,12 @@
 	outcomeHeader = "Filbertmill-Outcome"
 	// outcomeUnknown is its value when a target may have run the request.
 	outcomeUnknown = "unknown"
+	// callerHeader is the header by which the balancer names the caller.
+	callerHeader = "Filbertmill-Caller"
 	// defaultPatience is how long a caller waits unless its class says otherwise.
 	defaultPatience = 10 * time.Second
+	// exactWait is the last part of a wait, during which a context is not heard.
+	exactWait = 5 * time.Millisecond
 	// resendPause separates the attempts of one request.
 	resendPause = 100 * time.Millisecond
 )
@@ -53,19 +57,17 @@
 	return samples[:sent]
 }
 
+// sleepUntil waits until t; false means that the context ended first.
 func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	if early := time.Until(t) - exactWait; early > 0 {
+		select {
+		case <-time.After(early):
+		case <-ctx.Done():
+			return false
+		}
 	}
+	pause.Until(t)
+	return ctx.Err() == nil
 }
 
 type runner struct {
@@ -207,7 +209,7 @@
 	req.Header.Set(answer.HeaderWork, a.Work.String())
 	req.Header.Set(answer.HeaderBytes, strconv.Itoa(a.Class.AnswerBytes))
 	req.Header.Set("X-Request-Id", a.ID)
-	req.Header.Set("User-Agent", strings.ReplaceAll(a.Caller, " ", "-"))
+	req.Header.Set(callerHeader, a.Caller)
 	if a.Poison {
 		req.Header.Set(answer.HeaderPoison, "1")
 	}
--- a/testbed/process/process.go
+++ b/testbed/process/process.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -63,20 +62,6 @@
 	return specs, nil
 }
 
-// FreeAddresses returns n loopback addresses that were free when asked for.
-func FreeAddresses(n int) ([]string, error) {
-	list := make([]string, 0, n)
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer ln.Close()
-		list = append(list, ln.Addr().String())
-	}
-	return list, nil
-}
-
 // Settings returns the node's settings as INI. The extra text is appended and
 // holds whole sections, such as [platform].
 func (s Spec) Settings(seeds []Spec, extra string) string {
