Quarantines listed and released from any node, and told to successors

Cause: operators must see and end a quarantine, and a home's crash may not give a poison request two more targets. Change: filbertmill poison list and release ask the whole fleet; a home tells the successors of its service; a crash check takes a connection that is closed at once for a target that is down, as behind a port forwarder.

--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -25,6 +25,7 @@
 	Check   *checkCommand   `arg:"subcommand:check" help:"report every problem in settings or configuration files"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"say why the fleet took its decisions on a target, a request or a service"`
 	Report  *reportCommand  `arg:"subcommand:report" help:"print a report on the fleet"`
+	Poison  *poisonCommand  `arg:"subcommand:poison" help:"list or release the requests that crash targets"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run three nodes and stand-in targets in one process"`
 	Config  *configCommand  `arg:"subcommand:config" help:"read and change the fleet configuration in the store"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show members, homes, revisions in force and laggards"`
--- a/integration/poison_test.go
+++ b/integration/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +22,17 @@
 	return n
 }
 
+// crashedTargets returns how many targets crashed at all.
+func crashedTargets(targets []*target.Target) int {
+	n := 0
+	for _, t := range targets {
+		if t.Crashes() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // A request that crashes each target that runs it comes again and again,
 // through all nodes. It costs two targets; other requests go on.
 func TestPoisonRequestCostsTwoTargets(t *testing.T) {
@@ -53,4 +65,47 @@
 		c.Check(o.kind, qt.Equals, outcome.Run, qt.Commentf("ordinary request %d: %s", i, o.reason))
 	}
 	c.Assert(crashCount(targets), qt.Equals, 2)
+	list, code := command(c, "poison", "list", "--admin", f.nodes[2].Spec.Admin)
+	c.Assert(code, qt.Equals, 0)
+	c.Assert(strings.Count(list, "statusdesk"), qt.Equals, 3, qt.Commentf("service and two targets: %s", list))
+	fingerprint := strings.Fields(strings.Split(list, "\n")[1])[0]
+
+	out, code := command(c, "poison", "release", "--admin", f.nodes[0].Spec.Admin, fingerprint)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	list, _ = command(c, "poison", "list", "--admin", f.nodes[1].Spec.Admin)
+	c.Assert(list, qt.Contains, "no request is in quarantine")
+	c.Assert(poisoned(12).kind, qt.Equals, outcome.Unknown)
+	c.Assert(crashCount(targets), qt.Equals, 3)
+	_, code = command(c, "poison", "release", "--admin", f.nodes[0].Spec.Admin, fingerprint)
+	c.Assert(code, qt.Equals, 1)
+}
+
+// The nodes that may take the home's place know its quarantines.
+func TestQuarantineOutlivesTheHome(t *testing.T) {
+	c := qt.New(t)
+	f := startBookings(c, 3)
+	sendings := 0
+	poisoned := func(i int) reply {
+		sendings++
+		s := f.booking(i, fmt.Sprint("bad", sendings), answer.HeaderPoison, "1")
+		s.body = "the rug that crashes"
+		return s.send()
+	}
+	sent := 0
+	for poisoned(sent%3).reason != string(outcome.ReasonPoison) {
+		sent++
+		c.Assert(sent < 20, qt.IsTrue)
+	}
+	c.Assert(crashedTargets(f.targets), qt.Equals, 2)
+	crashes := crashCount(f.targets)
+
+	home := f.holder(c)
+	f.nodes[home].Kill()
+	for i := range 4 {
+		r := poisoned((home + 1) % 3)
+		c.Assert(r.kind, qt.Equals, outcome.NotRun, qt.Commentf("%d: %s", i, r.reason))
+	}
+	c.Assert(crashCount(f.targets), qt.Equals, crashes)
+	ordinary := f.book((home+1)%3, "van-1")
+	c.Assert(ordinary.kind, qt.Equals, outcome.Run, qt.Commentf("%s", ordinary.body))
 }
--- a/node/admin.go
+++ b/node/admin.go
@@ -29,6 +29,7 @@
 	e.GET("/status", n.handleStatus)
 	e.GET("/revision", n.handleRevision)
 	n.reportRoutes(e)
+	n.poisonRoutes(e)
 	e.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -40,6 +40,8 @@
 type environment interface {
 	event.Sink
 	onceEnvironment
+	// spreadQuarantine tells the successors of a home of a poison request.
+	spreadQuarantine(e poison.Entry)
 	// probe asks for an observation of a target; the answer comes as a command.
 	probe(service, target, address, path string, origin pool.Origin)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,7 @@
 	}
 	n.connectReports(n.membership.transport)
 	n.connectWitness(n.membership.transport)
+	n.connectPoison(n.membership.transport)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		n.membership.close()
--- a/node/poison.go
+++ b/node/poison.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
@@ -14,9 +15,15 @@
 	"filbertmill.example/pool"
 )
 
-// crashCheckTimeout bounds the look at whether a target that broke a
-// connection off still listens.
-const crashCheckTimeout = 250 * time.Millisecond
+const (
+	// crashDialTimeout bounds the look at whether a target that broke a
+	// connection off still listens.
+	crashDialTimeout = 250 * time.Millisecond
+	// crashReadTimeout is how long a new connection must stay open to count as
+	// one to a running target: something in front of a target that is down may
+	// accept connections and close them.
+	crashReadTimeout = 50 * time.Millisecond
+)
 
 // fingerprint identifies requests that are the same to a target, whichever
 // port of whichever node they came to.
@@ -36,15 +43,18 @@
 	return d.Sum64()
 }
 
-// isDown reports whether nothing listens at a target's address. It tells a
-// target that crashed from a connection that was lost.
+// isDown reports whether a target takes no connection. It tells a target that
+// crashed from a connection that was lost.
 func isDown(address string) bool {
-	c, err := net.DialTimeout("tcp", address, crashCheckTimeout)
+	c, err := net.DialTimeout("tcp", address, crashDialTimeout)
 	if err != nil {
 		return true
 	}
-	_ = c.Close()
-	return false
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(crashReadTimeout))
+	_, err = c.Read(make([]byte, 1))
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
 }
 
 // refuseIfPoison answers an attempt whose fingerprint is in quarantine.
@@ -80,6 +90,7 @@
 		p.sched.Absolve(now, crash.Target, crash.Started)
 	}
 	p.Event(quarantineEvent(now, entry))
+	p.control.env.spreadQuarantine(entry)
 }
 
 // quarantineEvent explains a quarantine.
--- /dev/null
+++ b/node/quarantine.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"filbertmill.example/event"
+	"filbertmill.example/fleet/control"
+	"filbertmill.example/poison"
+)
+
+const (
+	// PoisonPath is where operators ask for the quarantined fingerprints (GET)
+	// and release the one in the parameter fingerprint (DELETE).
+	PoisonPath = "/poison"
+
+	// kindPoisonList asks a node for its quarantined fingerprints: a
+	// poisonQuery, answered by a list of poison.Entry.
+	kindPoisonList control.Kind = "poison.list"
+	// kindPoisonRelease has a node release a fingerprint: a poisonQuery,
+	// answered by a poisonReleased.
+	kindPoisonRelease control.Kind = "poison.release"
+	// kindPoisonEntry tells a successor of a home of a quarantine: a poison.Entry.
+	kindPoisonEntry control.Kind = "poison.entry"
+
+	// maxPoisonListed is the most entries in one node's answer.
+	maxPoisonListed = 1000
+	// poisonSpreadTimeout bounds the telling of one successor.
+	poisonSpreadTimeout = 2 * time.Second
+)
+
+// PoisonReport is what the fleet holds in quarantine.
+type PoisonReport struct {
+	// Entries lists the fingerprints, those that end first first.
+	Entries []poison.Entry `json:"entries"`
+	// Released says that at least one node held the fingerprint to be released.
+	Released bool `json:"released,omitempty"`
+	// Silent lists the nodes that did not answer.
+	Silent []SilentNode `json:"silent,omitempty"`
+}
+
+// SilentNode is a node that did not answer.
+type SilentNode struct {
+	// Node is its name and Error why there is no answer.
+	Node  string `json:"node"`
+	Error string `json:"error"`
+}
+
+// poisonQuery names a fingerprint.
+type poisonQuery struct {
+	Fingerprint poison.Fingerprint `cbor:"1,keyasint,omitempty"`
+}
+
+// poisonReleased says whether a node held the fingerprint.
+type poisonReleased struct {
+	Released bool `cbor:"1,keyasint"`
+}
+
+// connectPoison has the node answer others on quarantines.
+func (n *Node) connectPoison(t *control.Transport) {
+	t.Handle(kindPoisonList, func(ctx context.Context, _ string, _ []byte) (any, error) {
+		return n.quarantined(ctx)
+	})
+	t.Handle(kindPoisonRelease, n.answerRelease)
+	t.Handle(kindPoisonEntry, n.takeQuarantine)
+}
+
+// poisonRoutes adds the quarantines to what operators may ask.
+func (n *Node) poisonRoutes(e *server.Hertz) {
+	e.GET(PoisonPath, n.handlePoisonList)
+	e.DELETE(PoisonPath, n.handlePoisonRelease)
+}
+
+// poisonCommand has the control goroutine use the tracker.
+type poisonCommand struct {
+	use  func(t *poison.Tracker, now time.Time)
+	done chan struct{}
+}
+
+func (m poisonCommand) apply(c *controlLoop, now time.Time) {
+	m.use(c.poison, now)
+	close(m.done)
+}
+
+// withTracker has the control goroutine use the tracker, and waits.
+func (n *Node) withTracker(ctx context.Context, use func(t *poison.Tracker, now time.Time)) error {
+	m := poisonCommand{use: use, done: make(chan struct{})}
+	if !n.control.send(m) {
+		return control.ErrClosed
+	}
+	select {
+	case <-m.done:
+		return nil
+	case <-n.control.done:
+		return control.ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// quarantined returns this node's quarantined fingerprints.
+func (n *Node) quarantined(ctx context.Context) ([]poison.Entry, error) {
+	found := make(chan []poison.Entry, 1)
+	err := n.withTracker(ctx, func(t *poison.Tracker, now time.Time) { found <- t.List(now) })
+	if err != nil {
+		return nil, err
+	}
+	list := <-found
+	return list[:min(len(list), maxPoisonListed)], nil
+}
+
+// release ends a quarantine on this node.
+func (n *Node) release(ctx context.Context, f poison.Fingerprint) (bool, error) {
+	released := make(chan bool, 1)
+	err := n.withTracker(ctx, func(t *poison.Tracker, now time.Time) { released <- t.Release(now, f) })
+	if err != nil {
+		return false, err
+	}
+	return <-released, nil
+}
+
+func (n *Node) answerRelease(ctx context.Context, _ string, body []byte) (any, error) {
+	var q poisonQuery
+	if err := control.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	released, err := n.release(ctx, q.Fingerprint)
+	return poisonReleased{Released: released}, err
+}
+
+func (n *Node) takeQuarantine(ctx context.Context, _ string, body []byte) (any, error) {
+	var e poison.Entry
+	if err := control.Unmarshal(body, &e); err != nil {
+		return nil, err
+	}
+	return nil, n.withTracker(ctx, func(t *poison.Tracker, now time.Time) { t.Import(now, e) })
+}
+
+// spreadQuarantine implements environment: it tells the successors of the home,
+// so that they refuse the fingerprint when they take its place.
+func (n *Node) spreadQuarantine(e poison.Entry) {
+	for _, m := range n.membership.agent.View().Homes(e.Service) {
+		if m.Name() == n.settings.Name {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), poisonSpreadTimeout)
+			defer cancel()
+			_ = n.membership.transport.Send(ctx, m.Peer, kindPoisonEntry, e)
+		}()
+	}
+}
+
+// handlePoisonList answers an operator with what the whole fleet holds.
+func (n *Node) handlePoisonList(c context.Context, ctx *app.RequestContext) {
+	peers, err := n.others(c)
+	if err != nil {
+		refuseReport(ctx, http.StatusServiceUnavailable, err)
+		return
+	}
+	answers, silent := askAll(c, peers, func(c context.Context, to control.Peer) ([]poison.Entry, error) {
+		var list []poison.Entry
+		return list, n.membership.transport.Call(c, to, kindPoisonList, poisonQuery{}, &list)
+	})
+	own, err := n.quarantined(c)
+	if err != nil {
+		refuseReport(ctx, http.StatusServiceUnavailable, err)
+		return
+	}
+	ctx.JSON(http.StatusOK, PoisonReport{Entries: mergeEntries(append(answers, own)), Silent: silentNodes(silent)})
+}
+
+// mergeEntries lists each fingerprint once, with the refusals of all nodes.
+func mergeEntries(lists [][]poison.Entry) []poison.Entry {
+	merged := make(map[poison.Fingerprint]poison.Entry)
+	for _, list := range lists {
+		for _, e := range list {
+			known, ok := merged[e.Fingerprint]
+			if ok {
+				e.Refused += known.Refused
+				e.Until = laterOf(e.Until, known.Until)
+			}
+			merged[e.Fingerprint] = e
+		}
+	}
+	return slices.SortedFunc(maps.Values(merged), func(a, b poison.Entry) int {
+		return cmp.Or(a.Until.Compare(b.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func silentNodes(list []silentNode) []SilentNode {
+	var out []SilentNode
+	for _, s := range list {
+		out = append(out, SilentNode{Node: s.name, Error: s.err.Error()})
+	}
+	return out
+}
+
+// handlePoisonRelease ends a quarantine on all nodes for an operator.
+func (n *Node) handlePoisonRelease(c context.Context, ctx *app.RequestContext) {
+	f, err := poison.ParseFingerprint(ctx.Query("fingerprint"))
+	if err != nil {
+		refuseReport(ctx, http.StatusBadRequest, err)
+		return
+	}
+	peers, err := n.others(c)
+	if err != nil {
+		refuseReport(ctx, http.StatusServiceUnavailable, err)
+		return
+	}
+	answers, silent := askAll(c, peers, func(c context.Context, to control.Peer) (poisonReleased, error) {
+		var r poisonReleased
+		return r, n.membership.transport.Call(c, to, kindPoisonRelease, poisonQuery{Fingerprint: f}, &r)
+	})
+	released, err := n.release(c, f)
+	if err != nil {
+		refuseReport(ctx, http.StatusServiceUnavailable, err)
+		return
+	}
+	for _, a := range answers {
+		released = released || a.Released
+	}
+	if released {
+		n.Emit(event.Event{
+			Time: time.Now(), Kind: event.KindPoison, Rule: "operator", From: "quarantined", To: "released",
+			Evidence: event.Evidence{Detail: "fingerprint " + f.String()},
+		})
+	}
+	ctx.JSON(http.StatusOK, PoisonReport{Released: released, Silent: silentNodes(silent)})
+}
--- a/node/servicepool_test.go
+++ b/node/servicepool_test.go
@@ -8,6 +8,7 @@
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
 	"filbertmill.example/pool"
 )
 
@@ -17,6 +18,8 @@
 	events []event.Event
 }
 
+func (r *recorder) spreadQuarantine(poison.Entry) {}
+
 func (r *recorder) Emit(e event.Event) { r.events = append(r.events, e) }
 
 func (r *recorder) probe(_, _, _, _ string, _ pool.Origin) {}
--- a/poison/fingerprint.go
+++ b/poison/fingerprint.go
@@ -34,6 +34,18 @@
 	return s
 }
 
+// MarshalText implements encoding.TextMarshaler: it gives what String gives.
+func (f Fingerprint) MarshalText() ([]byte, error) {
+	return []byte(f.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	parsed, err := ParseFingerprint(string(text))
+	*f = parsed
+	return err
+}
+
 // ParseFingerprint reads what String wrote.
 func ParseFingerprint(s string) (Fingerprint, error) {
 	n, err := strconv.ParseUint(s, 16, fingerprintBits)
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -48,7 +48,7 @@
 // Entry is a fingerprint in quarantine.
 type Entry struct {
 	// Fingerprint identifies the requests refused.
-	Fingerprint Fingerprint `json:"-" cbor:"1,keyasint"`
+	Fingerprint Fingerprint `json:"fingerprint" cbor:"1,keyasint"`
 	// Service and Route say where the request belongs.
 	Service string `json:"service" cbor:"2,keyasint"`
 	Route   string `json:"route" cbor:"3,keyasint"`
