--- a/cmd/filbertmill/config.go
+++ b/cmd/filbertmill/config.go
@@ -38,14 +38,18 @@
 	Store string `arg:"--store,required,env:FILBERTMILL_STORE" placeholder:"URL" help:"the platform's store"`
 }
 
-// publisher returns a Publisher on the store and a context for one command.
-func (f storeFlag) publisher() (*publish.Publisher, context.Context, context.CancelFunc, error) {
+// use runs a command on the store and returns the exit code.
+func (f storeFlag) use(command func(ctx context.Context, p *publish.Publisher) error) int {
 	c, err := httpstore.NewClient(f.Store)
 	if err != nil {
-		return nil, nil, nil, err
+		return report(err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-	return &publish.Publisher{Store: c}, ctx, cancel, nil
+	defer cancel()
+	if err := command(ctx, &publish.Publisher{Store: c}); err != nil {
+		return report(err)
+	}
+	return exitOK
 }
 
 // changeFlags say who makes a change and on top of what.
@@ -80,27 +84,22 @@
 	if err != nil {
 		return report(err)
 	}
-	p, ctx, cancel, err := c.publisher()
-	if err != nil {
-		return report(err)
-	}
-	defer cancel()
-	above, err := c.above(ctx)
-	if err != nil {
-		return report(err)
-	}
-	d, err := p.Apply(ctx, publish.Change{
-		File: c.File, Text: text, Base: base, Author: c.Author, Note: c.Note, Above: above,
+	return c.use(func(ctx context.Context, p *publish.Publisher) error {
+		above, err := c.above(ctx)
+		if err != nil {
+			return err
+		}
+		return printAccepted(p.Apply(ctx, publish.Change{
+			File: c.File, Text: text, Base: base, Author: c.Author, Note: c.Note, Above: above,
+		}))
 	})
-	return accepted(d, err)
 }
 
-func accepted(d fleet.Document, err error) int {
-	if err != nil {
-		return report(err)
+func printAccepted(d fleet.Document, err error) error {
+	if err == nil {
+		fmt.Printf("revision %s accepted\n", d.Version)
 	}
-	fmt.Printf("revision %s accepted\n", d.Version)
-	return exitOK
+	return err
 }
 
 // baseLine is the first line that config show writes.
@@ -133,18 +132,15 @@
 }
 
 func (c *showCommand) run() int {
-	p, ctx, cancel, err := c.publisher()
-	if err != nil {
-		return report(err)
-	}
-	defer cancel()
-	d, err := documentOf(ctx, p, c.Revision)
-	if err != nil {
-		return report(err)
-	}
-	fmt.Print(baseMark(d.Version))
-	_, _ = os.Stdout.Write(bytes.TrimPrefix(d.Text, []byte("\n")))
-	return exitOK
+	return c.use(func(ctx context.Context, p *publish.Publisher) error {
+		d, err := documentOf(ctx, p, c.Revision)
+		if err != nil {
+			return err
+		}
+		fmt.Print(baseMark(d.Version))
+		_, err = os.Stdout.Write(bytes.TrimPrefix(d.Text, []byte("\n")))
+		return err
+	})
 }
 
 // documentOf returns a revision, or the newest one for 0.
@@ -170,19 +166,16 @@
 	if err != nil {
 		return report(err)
 	}
-	p, ctx, cancel, err := c.publisher()
-	if err != nil {
-		return report(err)
-	}
-	defer cancel()
-	d, err := documentOf(ctx, p, c.Revision)
-	if err != nil {
-		return report(err)
-	}
-	for _, difference := range publish.Diff(d.Text, text) {
-		fmt.Println(difference)
-	}
-	return exitOK
+	return c.use(func(ctx context.Context, p *publish.Publisher) error {
+		d, err := documentOf(ctx, p, c.Revision)
+		if err != nil {
+			return err
+		}
+		for _, difference := range publish.Diff(d.Text, text) {
+			fmt.Println(difference)
+		}
+		return nil
+	})
 }
 
 type historyCommand struct {
@@ -191,17 +184,13 @@
 }
 
 func (c *historyCommand) run() int {
-	p, ctx, cancel, err := c.publisher()
-	if err != nil {
-		return report(err)
-	}
-	defer cancel()
-	list, err := p.History(ctx, c.Limit)
-	if err != nil {
-		return report(err)
-	}
-	printHistory(os.Stdout, list)
-	return exitOK
+	return c.use(func(ctx context.Context, p *publish.Publisher) error {
+		list, err := p.History(ctx, c.Limit)
+		if err == nil {
+			printHistory(os.Stdout, list)
+		}
+		return err
+	})
 }
 
 func printHistory(out io.Writer, list []fleet.Document) {
@@ -220,14 +209,11 @@
 }
 
 func (c *rollbackCommand) run() int {
-	p, ctx, cancel, err := c.publisher()
-	if err != nil {
-		return report(err)
-	}
-	defer cancel()
-	above, err := c.above(ctx)
-	if err != nil {
-		return report(err)
-	}
-	return accepted(p.Rollback(ctx, c.Revision, c.Author, c.Note, above))
+	return c.use(func(ctx context.Context, p *publish.Publisher) error {
+		above, err := c.above(ctx)
+		if err != nil {
+			return err
+		}
+		return printAccepted(p.Rollback(ctx, c.Revision, c.Author, c.Note, above))
+	})
 }
