--- a/node/servicepool_test.go
+++ b/node/servicepool_test.go
@@ -8,14 +8,18 @@
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
 	"filbertmill.example/pool"
 )
 
 // recorder is an environment that keeps the events.
 type recorder struct {
+	onceEnvironment
 	events []event.Event
 }
 
+func (r *recorder) spreadQuarantine(poison.Entry) {}
+
 func (r *recorder) Emit(e event.Event) { r.events = append(r.events, e) }
 
 func (r *recorder) probe(_, _, _, _ string, _ pool.Origin) {}
