--- a/measure/figure.go
+++ b/measure/figure.go
@@ -57,6 +57,7 @@
 	answeredRatio   = measure{"answered_ratio", "ratio", nil}
 	mixedOrCut      = measure{"mixed_or_cut_answers", "answers", atMost(0)}
 	runsTwice       = measure{"runs_twice", "requests", atMost(0)}
+	runsTwiceFleet  = measure{"runs_twice_of_one_sending", "requests", atMost(0)}
 	falseNotRun     = measure{"false_not_run", "requests", atMost(0)}
 	bookingsSent    = measure{"bookings_sent", "requests", nil}
 	bookingsUnknown = measure{"bookings_unknown", "requests", nil}
