--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -71,7 +70,8 @@
 
 // link is the outgoing side towards one control address.
 type link struct {
-	mu      sync.Mutex
+	// busy holds a token while a caller looks at or opens the connection.
+	busy    chan struct{}
 	conn    *conn
 	backoff Backoff
 }
@@ -134,7 +134,7 @@
 // Send delivers a message without a reply. A nil error means that it was
 // handed to the connection, not that it arrived.
 func (t *Transport) Send(ctx context.Context, to Peer, kind Kind, msg any) error {
-	body, err := cbor.Marshal(msg)
+	body, err := encoding.Marshal(msg)
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
@@ -148,7 +148,7 @@
 // Call delivers a message and decodes the answer into reply, unless that is
 // nil. A failure reported by the other node is a *RemoteError.
 func (t *Transport) Call(ctx context.Context, to Peer, kind Kind, msg, reply any) error {
-	body, err := cbor.Marshal(msg)
+	body, err := encoding.Marshal(msg)
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
@@ -175,13 +175,17 @@
 	t.mu.Lock()
 	l := t.links[to.ControlAddress]
 	if l == nil {
-		l = &link{}
+		l = &link{busy: make(chan struct{}, 1)}
 		t.links[to.ControlAddress] = l
 	}
 	t.mu.Unlock()
 
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	select {
+	case l.busy <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "connect to %s", to.Name)
+	}
+	defer func() { <-l.busy }()
 	if l.conn != nil {
 		select {
 		case <-l.conn.done:
@@ -292,7 +296,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for address, l := range t.links {
-		if !l.mu.TryLock() {
+		select {
+		case l.busy <- struct{}{}:
+		default:
 			continue
 		}
 		if l.conn != nil && l.conn.idle(now) > idleTimeout {
@@ -302,6 +308,6 @@
 		if l.conn == nil && l.backoff.Wait(now) == 0 {
 			delete(t.links, address)
 		}
-		l.mu.Unlock()
+		<-l.busy
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -12,23 +12,24 @@
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/config/static"
-	"filbertmill.example/event"
 	"filbertmill.example/exchange"
 )
 
 // Node is one process of the fleet.
 type Node struct {
-	settings *static.Settings
-	log      hclog.Logger
-	client   *exchange.Client
-	control  *controlLoop
-	routes   atomic.Pointer[routeTable]
-	members  *memberList
-	stats    *stats
-	lastID   atomic.Uint64
-	inFlight atomic.Int64
-	draining atomic.Bool
-	ready    atomic.Bool
+	settings   *static.Settings
+	log        hclog.Logger
+	client     *exchange.Client
+	control    *controlLoop
+	routes     atomic.Pointer[routeTable]
+	membership *membership
+	stats      *stats
+	reports    *reports
+	inForce    configInForce
+	lastID     atomic.Uint64
+	inFlight   atomic.Int64
+	draining   atomic.Bool
+	ready      atomic.Bool
 
 	callers *listener
 	peers   *listener
@@ -43,14 +44,21 @@
 		log:      log,
 		client:   exchange.NewClient(exchange.Options{Name: settings.Name}),
 		stats:    newStats(),
+		reports:  newReports(settings.EventRing, time.Now()),
 	}
-	n.members = newMemberList(settings)
+	n.inForce.effective = n.applyEffective
 	n.control = newControlLoop(n, seedOf(settings.Name))
+	n.routes.Store(newRouteTable(&dynamic.Config{}))
+	var err error
+	if n.membership, err = newMembership(n, initialDocument(cfg)); err != nil {
+		return nil, err
+	}
+	n.connectReports(n.membership.transport)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
+		n.membership.close()
 		return nil, err
 	}
-	n.applyConfig(cfg)
 	return n, nil
 }
 
@@ -78,14 +86,11 @@
 // AdminAddress returns the address on which operators are served.
 func (n *Node) AdminAddress() net.Addr { return n.admin.addr }
 
-// applyConfig brings a whole configuration into force.
-func (n *Node) applyConfig(cfg *dynamic.Config) {
+// applyEffective brings a configuration with its exceptions into force.
+func (n *Node) applyEffective(cfg *dynamic.Config) {
+	n.retainBurn(cfg)
 	n.routes.Store(newRouteTable(cfg))
 	n.control.send(configCommand{config: cfg})
-	n.Emit(event.Event{
-		Time: time.Now(), Kind: event.KindConfiguration, Rule: "applied",
-		Evidence: event.Evidence{Revision: int64(cfg.Revision)},
-	})
 }
 
 // Run serves until the context ends, then drains. It returns once nothing is
@@ -94,8 +99,11 @@
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	go n.control.run(controlCtx)
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var serving sync.WaitGroup
+	fleetCtx, stopFleet := context.WithCancel(context.Background())
+	defer stopFleet()
+	serving.Go(func() { failed <- n.membership.run(fleetCtx) })
 	for _, l := range []*listener{n.callers, n.peers, n.admin} {
 		serving.Go(func() { failed <- l.engine.Run() })
 	}
@@ -105,6 +113,7 @@
 	select {
 	case <-ctx.Done():
 		n.drain()
+		n.handOverBurn()
 	case err = <-failed:
 		err = errors.Wrap(err, "a listener ended")
 	}
@@ -113,18 +122,6 @@
 	return err
 }
 
-// Emit implements event.Sink: it counts the event and logs it.
-func (n *Node) Emit(e event.Event) {
-	e.Node = n.settings.Name
-	n.stats.countEvent(e.Kind)
-	level := hclog.Info
-	if e.Kind == event.KindRefusal || e.Kind == event.KindRetry || e.Kind == event.KindShed {
-		level = hclog.Debug
-	}
-	n.log.Log(level, string(e.Kind), "service", e.Service, "target", e.Target, "request", e.Request,
-		"rule", e.Rule, "from", e.From, "to", e.To, "evidence", e.Evidence)
-}
-
 // closeListeners ends the listeners that were opened.
 func (n *Node) closeListeners() {
 	for _, l := range []*listener{n.callers, n.peers, n.admin} {
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
 	"filbertmill.example/pool"
+	"filbertmill.example/retry"
 )
 
 // servicePool ties one service's Scheduler to the node; it is the Scheduler's
@@ -16,7 +19,17 @@
 	service *dynamic.Service
 	sched   pool.Scheduler
 	address map[string]string
-	waiting map[pool.RequestID]chan<- grant
+	retries *retry.Budget
+	waiting map[pool.RequestID]waiter
+	// explained is the attempt whose refusal the Scheduler has just recorded.
+	explained pool.RequestID
+}
+
+// waiter is where the grant of an attempt goes, and the id that the caller
+// gave the request.
+type waiter struct {
+	reply   chan<- grant
+	request string
 }
 
 // grant answers an admission: a target to run on, or a refusal.
@@ -24,11 +37,17 @@
 	target  string
 	address string
 	refusal *pool.Refusal
+	// explained says that an event on the refusal was recorded.
+	explained bool
 }
 
 // newServicePool makes the pool of a service with the targets listed for it.
 func newServicePool(c *controlLoop, svc *dynamic.Service, now time.Time) *servicePool {
-	p := &servicePool{control: c, waiting: make(map[pool.RequestID]chan<- grant)}
+	p := &servicePool{
+		control: c,
+		waiting: make(map[pool.RequestID]waiter),
+		retries: retry.NewBudget(retryConfig(svc)),
+	}
 	cfg := poolConfig(svc, c.config.Targets)
 	if svc.Variant == dynamic.VariantDirect {
 		p.sched = pool.NewDirect(cfg, p, c.seed)
@@ -42,6 +61,7 @@
 // configure brings a configuration into force.
 func (p *servicePool) configure(svc *dynamic.Service, now time.Time) {
 	p.service = svc
+	p.retries.SetConfig(retryConfig(svc))
 	p.address = make(map[string]string)
 	var targets []pool.Target
 	for _, t := range p.control.config.Targets {
@@ -106,21 +126,17 @@
 
 // Refuse implements pool.Delegate.
 func (p *servicePool) Refuse(id pool.RequestID, r pool.Refusal) {
-	p.answer(id, grant{refusal: &r})
-	p.Event(event.Event{
-		Time: p.control.now(), Kind: event.KindRefusal, Rule: string(r.Reason),
-		Evidence: event.Evidence{Wait: r.RetryAfter},
-	})
+	p.answer(id, grant{refusal: &r, explained: p.explained == id})
 }
 
 // answer hands a grant to the goroutine that waits for it.
 func (p *servicePool) answer(id pool.RequestID, g grant) {
-	ch, ok := p.waiting[id]
+	w, ok := p.waiting[id]
 	if !ok {
 		return
 	}
 	delete(p.waiting, id)
-	ch <- g
+	w.reply <- g
 }
 
 // Probe implements pool.Delegate.
@@ -128,18 +144,26 @@
 	p.control.env.probe(p.service.Name, target, p.address[target], p.service.ProbePath, origin)
 }
 
-// Event implements pool.Delegate.
+// Event implements pool.Delegate. The Scheduler knows attempts by their own
+// ids; operators know requests by those of the callers.
 func (p *servicePool) Event(e event.Event) {
 	e.Service = p.service.Name
+	if id, err := strconv.ParseUint(e.Request, 10, 64); err == nil {
+		p.explained = pool.RequestID(id)
+		e.Request = p.waiting[p.explained].request
+	}
 	p.control.env.Emit(e)
 }
 
 // submitCommand offers an attempt; the grant comes on reply, which must have
 // room for one.
 type submitCommand struct {
-	service string
-	request pool.Request
-	reply   chan<- grant
+	service     string
+	request     pool.Request
+	fingerprint poison.Fingerprint
+	reply       chan<- grant
+	// name is the request's id as the caller gave it.
+	name string
 }
 
 func (m submitCommand) apply(c *controlLoop, now time.Time) {
@@ -148,7 +172,13 @@
 		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
 		return
 	}
-	p.waiting[m.request.ID] = m.reply
+	if p.refuseIfPoison(now, m) {
+		return
+	}
+	if len(m.request.Exclude) == 0 {
+		p.retries.Request(now)
+	}
+	p.waiting[m.request.ID] = waiter{reply: m.reply, request: m.name}
 	p.sched.Submit(now, m.request)
 }
 
@@ -179,11 +209,23 @@
 	service string
 	id      pool.RequestID
 	result  pool.Result
+	attempt attemptEnd
+}
+
+// attemptEnd is what the poison tracker must know of an attempt.
+type attemptEnd struct {
+	target      string
+	route       string
+	request     string
+	fingerprint poison.Fingerprint
+	start       time.Time
+	crashed     bool
 }
 
 func (m finishCommand) apply(c *controlLoop, now time.Time) {
 	if p := c.pools[m.service]; p != nil {
 		p.sched.Finish(now, m.id, m.result)
+		p.judge(now, m)
 	}
 }
 
