--- a/integration/poison_test.go
+++ b/integration/poison_test.go
@@ -67,6 +67,7 @@
 	c.Assert(crashCount(targets), qt.Equals, 2)
 	list, code := command(c, "poison", "list", "--admin", f.nodes[2].Spec.Admin)
 	c.Assert(code, qt.Equals, 0)
+	c.Logf("%s", list)
 	c.Assert(strings.Count(list, "statusdesk"), qt.Equals, 3, qt.Commentf("service and two targets: %s", list))
 	fingerprint := strings.Fields(strings.Split(list, "\n")[1])[0]
 
--- a/integration/whole_test.go
+++ b/integration/whole_test.go
@@ -17,10 +17,10 @@
 	"filbertmill.example/testbed/target"
 )
 
-// small bodies are held in memory on the way, large ones are passed on.
+// held bodies are kept in memory on the way, streamed ones are passed on.
 const (
-	smallBody = 900
-	largeBody = 300_000
+	heldBody     = 900
+	streamedBody = 300_000
 )
 
 // An answer that a target cuts short never looks whole, on one hop or two.
@@ -29,7 +29,7 @@
 	targets, ini := startTargets(c, "statusdesk", target.Config{})
 	f := startFleet(c, 2, pathConfig+ini)
 	for _, chunked := range []bool{false, true} {
-		for _, size := range []int{smallBody, largeBody} {
+		for _, size := range []int{heldBody, streamedBody} {
 			for i := range f.nodes {
 				targets[0].Set(target.Behavior{TruncateShare: 1, TruncateChunked: chunked})
 				id := fmt.Sprintf("cut-%t-%d-%d", chunked, size, i)
@@ -101,17 +101,17 @@
 		size    int
 		chunk   bool
 	}{
-		{"small, with a length", "Content-Length: 1000", smallBody, false},
-		{"large, with a length", "Content-Length: 400000", largeBody, false},
-		{"small, chunked", "Transfer-Encoding: chunked", smallBody, true},
-		{"large, chunked", "Transfer-Encoding: chunked", largeBody, true},
+		{"small, with a length", "Content-Length: 1000", heldBody, false},
+		{"large, with a length", "Content-Length: 400000", streamedBody, false},
+		{"small, chunked", "Transfer-Encoding: chunked", heldBody, true},
+		{"large, chunked", "Transfer-Encoding: chunked", streamedBody, true},
 	} {
 		for i := range f.nodes {
 			part := strings.Repeat("r", test.size)
 			if test.chunk {
 				part = fmt.Sprintf("%x\r\n%s\r\n", test.size, part)
 			}
-			if test.size == smallBody {
+			if test.size == heldBody {
 				sendPart(c, f.nodes[i].Spec.Callers, test.framing, part, func() {})
 				continue
 			}
--- a/measure/bench.go
+++ b/measure/bench.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"filbertmill.example/platform/standin"
 	"filbertmill.example/pool"
 	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/load"
@@ -39,9 +40,10 @@
 	scenario   string
 	dir        string
 
-	ledger  *target.Ledger
-	targets map[string][]*target.Target // by service
-	nodes   []*node
+	platform *standin.Standin
+	ledger   *target.Ledger
+	targets  map[string][]*target.Target // by service
+	nodes    []*node
 	// Proxies before each node's callers and peers, and before each target.
 	callerProxies []*faultproxy.Proxy
 	peerProxies   []*faultproxy.Proxy
@@ -70,11 +72,13 @@
 	if err != nil {
 		return b, err
 	}
-	file, err := b.writeConfig(addresses)
-	if err != nil {
+	if b.platform, err = standin.Start("127.0.0.1:0"); err != nil {
+		return b, err
+	}
+	if err := b.publishConfig(ctx, addresses); err != nil {
 		return b, err
 	}
-	if err := b.startNodes(ctx, file); err != nil {
+	if err := b.startNodes(ctx); err != nil {
 		return b, err
 	}
 	b.watcher.Go(func() { b.watchFloor(ctx) })
@@ -99,6 +103,9 @@
 	for _, p := range append(b.callerProxies, b.peerProxies...) {
 		p.Close()
 	}
+	if b.platform != nil {
+		_ = b.platform.Close()
+	}
 	os.RemoveAll(b.dir)
 }
 
@@ -147,7 +154,7 @@
 	return b.deployment.zones[i%len(b.deployment.zones)]
 }
 
-func (b *bench) startNodes(ctx context.Context, configFile string) error {
+func (b *bench) startNodes(ctx context.Context) error {
 	specs, err := process.NewSpecs(b.opts.nodes, b.deployment.zones)
 	if err != nil {
 		return err
@@ -168,7 +175,7 @@
 	}
 	failed := make(chan error, len(specs))
 	for _, s := range specs {
-		n := &node{binary: b.opts.binary, dir: b.dir, spec: s, settings: s.Settings(seeds, nodeSettings(configFile))}
+		n := &node{binary: b.opts.binary, dir: b.dir, spec: s, settings: s.Settings(seeds, nodeSettings(b.platform.URL()))}
 		b.nodes = append(b.nodes, n)
 		go func() { failed <- n.start(ctx) }()
 	}
--- a/measure/files.go
+++ b/measure/files.go
@@ -1,10 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
+
+	"filbertmill.example/fleet/publish"
 )
 
 // address is where a target is reached.
@@ -13,13 +14,13 @@
 }
 
 // nodeSettings returns what each node's settings say beside its addresses.
-func nodeSettings(configFile string) string {
-	return fmt.Sprintf("[platform]\nconfig_file = %s\n[drain]\ndelay = %s\ntimeout = %s\n",
-		configFile, drainDelay, drainTimeout)
+func nodeSettings(store string) string {
+	return fmt.Sprintf("[platform]\nstore = %s\n[drain]\ndelay = %s\ntimeout = %s\n",
+		store, drainDelay, drainTimeout)
 }
 
-// writeConfig writes the fleet configuration and returns the file's name.
-func (b *bench) writeConfig(targets []address) (string, error) {
+// publishConfig writes the fleet configuration to the store.
+func (b *bench) publishConfig(ctx context.Context, targets []address) error {
 	var s strings.Builder
 	floor := floorShare
 	if b.opts.fault == faultNoFloor {
@@ -37,8 +38,9 @@
 	for _, t := range targets {
 		fmt.Fprintf(&s, "[target %s]\nservice = %s\naddress = %s\navailability_zone = %s\n", t.name, t.service, t.address, t.zone)
 	}
-	file := filepath.Join(b.dir, "fleet.ini")
-	return file, os.WriteFile(file, []byte(s.String()), 0o600)
+	publisher := &publish.Publisher{Store: b.platform.Store}
+	_, err := publisher.Apply(ctx, publish.Change{File: "fleet.ini", Text: []byte(s.String()), Author: "measure"})
+	return err
 }
 
 func (b *bench) idempotency(svc service) string {
--- a/once/witness_test.go
+++ b/once/witness_test.go
@@ -27,6 +27,9 @@
 		return once.Done{Key: "k", Claim: once.Claim{Epoch: e, Sequence: seq}}
 	}
 
+	known := install(2, holder)
+	known.Copy.Records = []once.Record{{Key: "k", Claim: once.Claim{Epoch: 1, Sequence: 5}, Left: time.Hour}}
+
 	for _, test := range []struct {
 		desc     string
 		to       once.Member
@@ -47,6 +50,7 @@
 		{"a release", self, []once.Message{install(1, holder), intent(1, 1), release(1, 1)}, once.StatusAccepted, 0},
 		{"a release that comes late", self, []once.Message{install(1, holder), intent(1, 1), intent(1, 2), release(1, 1)}, once.StatusSealed, 1},
 		{"an intent that comes late", self, []once.Message{install(1, holder), intent(1, 2), intent(1, 1), release(1, 2)}, once.StatusAccepted, 0},
+		{"a claim of a later epoch", self, []once.Message{install(1, holder), known, intent(2, 1), release(2, 1)}, once.StatusAccepted, 0},
 		{"an end of another claim", self, []once.Message{install(1, holder), intent(1, 2), done(1, 1)}, once.StatusSealed, 1},
 		{"a release after the end", self, []once.Message{install(1, holder), intent(1, 1), done(1, 1), release(1, 1)}, once.StatusSealed, 1},
 		{"an end after a seal", self, []once.Message{install(1, holder), intent(1, 1), once.Seal{Epoch: 2, Holder: rival}, done(1, 1)}, once.StatusAccepted, 1},
