exchange: connections opened ahead of need

Ways weighed: reuse after a quiet time (a later doubled answer can still reach another caller), opening ahead (chosen), letting operators vouch for a target. An entry also no longer opens a connection for each booking to the home: both ends are ours and name the attempt. A home that answers that it is shutting down is passed over at once.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +28,10 @@
 	// IdleTimeout is how long an unused connection is kept. Longer saves
 	// connection set-up; shorter frees the target's connections. Default: 30 s.
 	IdleTimeout time.Duration
+	// SpareTimeout is how long a connection that was opened ahead of need is
+	// kept. It must be shorter than the time after which targets close a
+	// connection without a request. Default: 4 s.
+	SpareTimeout time.Duration
 	// MaxIdle is the most unused connections kept for one address. Default: 32.
 	MaxIdle int
 }
@@ -38,6 +41,8 @@
 	defaultDialTimeout = 250 * time.Millisecond
 	defaultIdleTimeout = 30 * time.Second
 	defaultMaxIdle     = 32
+
+	defaultSpareTimeout = 4 * time.Second
 )
 
 // Client runs exchanges. It is safe for use by many goroutines.
@@ -50,8 +55,8 @@
 	attempts atomic.Uint64
 	open     atomic.Int64
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	idle   *shelf
+	spares *spares
 }
 
 // NewClient returns a Client with the given options and defaults for those that are zero.
@@ -65,11 +70,15 @@
 	if opts.MaxIdle == 0 {
 		opts.MaxIdle = defaultMaxIdle
 	}
+	if opts.SpareTimeout == 0 {
+		opts.SpareTimeout = defaultSpareTimeout
+	}
 	return &Client{
 		opts:     opts,
 		dialer:   standard.NewDialer(),
 		instance: opts.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
-		idle:     make(map[string][]*conn),
+		idle:     newShelf(),
+		spares:   newSpares(),
 	}
 }
 
@@ -79,9 +88,11 @@
 	Address string
 	// Request is the request; its body may be a stream.
 	Request *protocol.Request
-	// Fresh asks for a new connection, on which no earlier exchange can have
-	// left a byte and which the peer cannot have closed as idle.
+	// Fresh asks for a connection that no earlier exchange has used.
 	Fresh bool
+	// Spares is the number of connections to hold ready for an address whose
+	// answers do not name their attempt; usually the requests it runs at once.
+	Spares int
 	// MaxResponseBytes bounds the answer's body; 0 means no bound.
 	MaxResponseBytes int64
 }
@@ -142,6 +153,9 @@
 		return nil, fail(ctx, StageReceive, err)
 	}
 	body.reusable = echo == attempt && !r.Header.ConnectionClose()
+	if !body.reusable || call.Fresh {
+		c.replenish(call.Address, call.Spares)
+	}
 	return &Answer{Response: r, Body: body}, nil
 }
 
@@ -179,24 +193,35 @@
 	}
 }
 
-// connect returns a connection for the call.
+// connect returns a connection for the call: one whose last exchange ended
+// cleanly, one opened ahead of need, or a new one.
 func (c *Client) connect(ctx context.Context, call Call) (*conn, *Failure) {
 	if err := ctx.Err(); err != nil {
 		return nil, fail(ctx, StageDial, err)
 	}
-	for !call.Fresh {
-		cn := c.take(call.Address)
-		if cn == nil {
-			break
-		}
-		if cn.unpark() {
+	if !call.Fresh {
+		if cn := takeSilent(c.idle, call.Address); cn != nil {
 			return cn, nil
 		}
-		cn.abort()
+	}
+	if cn := takeSilent(c.spares.shelf, call.Address); cn != nil {
+		c.replenish(call.Address, call.Spares)
+		return cn, nil
 	}
 	return c.dial(ctx, call.Address)
 }
 
+// takeSilent returns a connection of the shelf on which nothing has arrived, or nil.
+func takeSilent(s *shelf, addr string) *conn {
+	for {
+		cn := s.take(addr)
+		if cn == nil || cn.unpark() {
+			return cn
+		}
+		cn.abort()
+	}
+}
+
 // dial opens a new connection.
 func (c *Client) dial(ctx context.Context, addr string) (*conn, *Failure) {
 	timeout := c.opts.DialTimeout
@@ -214,59 +239,20 @@
 	return &conn{Conn: nc, client: c, addr: addr}, nil
 }
 
-// take removes the most recently used idle connection from the list.
-func (c *Client) take(addr string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	cn := list[len(list)-1]
-	c.idle[addr] = list[:len(list)-1]
-	return cn
-}
-
-// keep puts a clean connection on the idle list.
+// keep puts a clean connection on the idle shelf.
 func (c *Client) keep(cn *conn) {
-	c.mu.Lock()
-	if len(c.idle[cn.addr]) >= c.opts.MaxIdle {
-		c.mu.Unlock()
+	if !c.idle.put(cn, c.opts.MaxIdle, func(cn *conn) { cn.park(c.opts.IdleTimeout) }) {
 		cn.abort()
-		return
-	}
-	cn.park(c.opts.IdleTimeout)
-	c.idle[cn.addr] = append(c.idle[cn.addr], cn)
-	c.mu.Unlock()
-}
-
-// forget removes cn from the idle list and reports whether it was there.
-func (c *Client) forget(cn *conn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[cn.addr]
-	for i, other := range list {
-		if other == cn {
-			c.idle[cn.addr] = append(list[:i], list[i+1:]...)
-			return true
-		}
 	}
-	return false
 }
 
 // Open returns the number of open connections.
 func (c *Client) Open() int64 { return c.open.Load() }
 
-// CloseIdle closes the idle connections.
+// CloseIdle closes the connections that no exchange is using.
 func (c *Client) CloseIdle() {
-	c.mu.Lock()
-	all := c.idle
-	c.idle = make(map[string][]*conn)
-	c.mu.Unlock()
-	for _, list := range all {
-		for _, cn := range list {
-			cn.unpark()
-			cn.abort()
-		}
+	for _, cn := range append(c.idle.empty(), c.spares.shelf.empty()...) {
+		cn.unpark()
+		cn.abort()
 	}
 }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -15,7 +15,9 @@
 	network.Conn
 	client *Client
 	addr   string
-	// watch receives, once the connection is taken from the idle list, whether
+	// shelf holds the connection while no exchange uses it.
+	shelf *shelf
+	// watch receives, once the connection is taken from its shelf, whether
 	// it stayed silent while it was idle.
 	watch chan bool
 	// aborted is set when the connection was closed on purpose.
@@ -42,7 +44,7 @@
 	c.watch = make(chan bool, 1)
 	go func() {
 		_, err := c.Peek(1)
-		if c.client.forget(c) {
+		if c.shelf.remove(c) {
 			c.abort()
 			return
 		}
@@ -50,7 +52,7 @@
 	}()
 }
 
-// unpark ends the watch of a connection that was taken from the idle list and
+// unpark ends the watch of a connection that was taken from its shelf and
 // reports whether it may be used.
 func (c *conn) unpark() bool {
 	_ = c.SetReadDeadline(pastDeadline)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -151,6 +151,33 @@
 	}
 }
 
+// Without a verified answer each exchange has a connection of its own, opened
+// before it is needed, and no more are held than were asked for.
+func TestSpares(t *testing.T) {
+	c := qt.New(t)
+	s := serveScript(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+	cl := NewClient(Options{Name: "t"})
+	addr := s.ln.Addr().String()
+	for i := range 3 {
+		r := &protocol.Request{}
+		r.Header.SetHost("test")
+		r.Header.SetRequestURI("/")
+		ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
+		ans, f := cl.Do(ctx, Call{Address: addr, Request: r, Spares: 1})
+		c.Assert(f == nil, qt.IsTrue)
+		_, err := io.ReadAll(ans.Body)
+		c.Assert(err, qt.IsNil)
+		cancel()
+		// One connection was used, and one more stands ready.
+		for len(s.conns) < i+2 || cl.spares.shelf.size(addr) < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		c.Assert(s.conns, qt.HasLen, i+2)
+	}
+	cl.CloseIdle()
+	c.Check(cl.Open(), qt.Equals, int64(0))
+}
+
 // An idle connection that the other end closes or writes to is given up.
 func TestIdleConnectionWatched(t *testing.T) {
 	for _, late := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"} {
--- a/node/forward.go
+++ b/node/forward.go
@@ -55,7 +55,6 @@
 	ans, f := n.client.Do(hop, exchange.Call{
 		Address:          m.Peer.PeerAddress,
 		Request:          out,
-		Fresh:            !r.idempotent,
 		MaxResponseBytes: r.route.MaxResponseBytes,
 	})
 	var body *answerBody
@@ -70,6 +69,9 @@
 		return n.forwardFailed(ctx, hop, r, m, f)
 	}
 	res := hopResult(ans, body, release)
+	if res.outcome.Reason == outcome.ReasonShutdown {
+		n.suspect(m.Name())
+	}
 	return res, declined(res.outcome.Reason) && r.body.replayable()
 }
 
--- a/node/home.go
+++ b/node/home.go
@@ -114,6 +114,7 @@
 		Address:          g.address,
 		Request:          out,
 		Fresh:            !r.idempotent,
+		Spares:           g.slots,
 		MaxResponseBytes: r.route.MaxResponseBytes,
 	})
 	if a.failure == nil {
--- a/node/retry.go
+++ b/node/retry.go
@@ -71,7 +71,7 @@
 // slot's work does not.
 func (m retryCommand) apply(c *controlLoop, now time.Time) {
 	p := c.pools[m.service]
-	if p == nil || m.tried >= len(p.address) {
+	if p == nil || m.tried >= len(p.endpoints) {
 		m.reply <- false
 		return
 	}
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -15,16 +15,22 @@
 // servicePool ties one service's Scheduler to the node; it is the Scheduler's
 // Delegate and belongs to the control goroutine.
 type servicePool struct {
-	control *controlLoop
-	service *dynamic.Service
-	sched   pool.Scheduler
-	address map[string]string
-	retries *retry.Budget
-	waiting map[pool.RequestID]waiter
+	control   *controlLoop
+	service   *dynamic.Service
+	sched     pool.Scheduler
+	endpoints map[string]endpoint
+	retries   *retry.Budget
+	waiting   map[pool.RequestID]waiter
 	// explained is the attempt whose refusal the Scheduler has just recorded.
 	explained pool.RequestID
 }
 
+// endpoint says where a target listens and how many requests it runs at once.
+type endpoint struct {
+	address string
+	slots   int
+}
+
 // waiter is where the grant of an attempt goes, and the id that the caller
 // gave the request.
 type waiter struct {
@@ -36,6 +42,7 @@
 type grant struct {
 	target  string
 	address string
+	slots   int
 	refusal *pool.Refusal
 	// explained says that an event on the refusal was recorded.
 	explained bool
@@ -62,14 +69,15 @@
 func (p *servicePool) configure(svc *dynamic.Service, now time.Time) {
 	p.service = svc
 	p.retries.SetConfig(retryConfig(svc))
-	p.address = make(map[string]string)
+	p.endpoints = make(map[string]endpoint)
 	var targets []pool.Target
 	for _, t := range p.control.config.Targets {
 		if t.Service != svc.Name {
 			continue
 		}
-		p.address[t.Name] = t.Address
-		targets = append(targets, poolTarget(svc, t, p.control.leaving[t.Name]))
+		pt := poolTarget(svc, t, p.control.leaving[t.Name])
+		targets = append(targets, pt)
+		p.endpoints[t.Name] = endpoint{address: t.Address, slots: pt.Slots}
 	}
 	p.sched.SetConfig(now, poolConfig(svc, p.control.config.Targets))
 	p.sched.SetTargets(now, targets)
@@ -121,7 +129,8 @@
 
 // Start implements pool.Delegate.
 func (p *servicePool) Start(id pool.RequestID, target string) {
-	p.answer(id, grant{target: target, address: p.address[target]})
+	e := p.endpoints[target]
+	p.answer(id, grant{target: target, address: e.address, slots: e.slots})
 }
 
 // Refuse implements pool.Delegate.
@@ -141,7 +150,7 @@
 
 // Probe implements pool.Delegate.
 func (p *servicePool) Probe(target string, origin pool.Origin) {
-	p.control.env.probe(p.service.Name, target, p.address[target], p.service.ProbePath, origin)
+	p.control.env.probe(p.service.Name, target, p.endpoints[target].address, p.service.ProbePath, origin)
 }
 
 // Event implements pool.Delegate. The Scheduler knows attempts by their own
