fleet/control: wait out a back-off, and dial at once who has connected

Cause: a call shortly after a fleet's start failed because of an earlier failed dial; TestExplainFromAnyNode ended with exit code 3. Change: a call waits for its turn within its deadline; a peer that connects to this node is dialled at once; a member that is believed lost is told so.

--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,7 +24,8 @@
 	maxInbound = 512
 )
 
-// ErrBackingOff reports a peer that is not dialled yet after earlier failures.
+// ErrBackingOff reports a peer that may not be dialled again, after earlier
+// failures, before the caller's deadline.
 var ErrBackingOff = errors.New("waiting before the next connection attempt")
 
 // Peer says what is needed to reach a node.
@@ -74,6 +76,10 @@
 	busy    chan struct{}
 	conn    *conn
 	backoff Backoff
+	// name is the peer's name; heard says that it has connected to this node
+	// since the last attempt to reach it.
+	name  string
+	heard atomic.Bool
 }
 
 // New returns a Transport that can send; Serve makes it receive.
@@ -175,7 +181,7 @@
 	t.mu.Lock()
 	l := t.links[to.ControlAddress]
 	if l == nil {
-		l = &link{busy: make(chan struct{}, 1)}
+		l = &link{busy: make(chan struct{}, 1), name: to.Name}
 		t.links[to.ControlAddress] = l
 	}
 	t.mu.Unlock()
@@ -198,8 +204,8 @@
 			l.conn = nil
 		}
 	}
-	if l.backoff.Wait(time.Now()) > 0 {
-		return nil, errors.Wrapf(ErrBackingOff, "connect to %s", to.Name)
+	if err := l.awaitTurn(ctx); err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", to.Name)
 	}
 	c, err := t.dial(ctx, to)
 	if err != nil {
@@ -213,6 +219,40 @@
 	return c, nil
 }
 
+// awaitTurn waits until the link may be dialled again. A peer that has
+// connected to this node may be dialled at once.
+func (l *link) awaitTurn(ctx context.Context) error {
+	if l.heard.Swap(false) {
+		l.backoff.Succeed()
+	}
+	wait := l.backoff.Wait(time.Now())
+	if wait == 0 {
+		return nil
+	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait {
+		return ErrBackingOff
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// hear notes that a peer has connected to this node.
+func (t *Transport) hear(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		if l.name == name {
+			l.heard.Store(true)
+		}
+	}
+}
+
 func (t *Transport) dial(ctx context.Context, to Peer) (*conn, error) {
 	if err := t.ctx.Err(); err != nil {
 		return nil, ErrClosed
@@ -258,6 +298,7 @@
 		ws.CloseNow()
 		return
 	}
+	t.hear(s.peer)
 	ws.SetReadLimit(MaxMessageBytes + sealBytes)
 	newConn(t, ws, roleAcceptor, s).run(t.ctx)
 }
--- a/fleet/control/transport_test.go
+++ b/fleet/control/transport_test.go
@@ -197,3 +197,25 @@
 	stop()
 	qt.Assert(t, <-slow, qt.IsNotNil)
 }
+
+func TestPeerThatConnectsIsDialledAtOnce(t *testing.T) {
+	a, toA := start(t, "a", testKey)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	toB := Peer{Name: "b", ControlAddress: l.Addr().String()}
+	qt.Assert(t, l.Close(), qt.IsNil)
+	ctx := testContext(t)
+	a.Handle("echo", echo)
+	for range 5 {
+		qt.Assert(t, a.Call(ctx, toB, "echo", ping{}, nil), qt.IsNotNil)
+	}
+	again, err := net.Listen("tcp", toB.ControlAddress)
+	qt.Assert(t, err, qt.IsNil)
+	b, _ := startOn(t, "b", testKey, again)
+	b.Handle("echo", echo)
+	qt.Assert(t, b.Call(ctx, toA, "echo", ping{}, nil), qt.IsNil)
+	// The wait after five failures is at least 1.6 s.
+	hurried, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	qt.Assert(t, a.Call(hurried, toB, "echo", ping{}, nil), qt.IsNil)
+}
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -77,6 +77,10 @@
 // this node was paused meanwhile.
 func (a *Agent) exchangeWith(m Member, failed func(now time.Time)) {
 	own, epoch := a.ownExchange(), a.epoch
+	if m.State != StateAlive {
+		// What is believed of a member is told to it, to let it refute.
+		own.Rumors = append(own.Rumors, m)
+	}
 	a.spawn(func(ctx context.Context) {
 		var theirs exchange
 		ctx, cancel := context.WithTimeout(ctx, a.timing.ExchangeTimeout)
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -12,8 +12,8 @@
 	"filbertmill.example/filbertmill/internal/cluster"
 )
 
-// command runs the program and returns its output and exit code.
-func command(c *qt.C, args ...string) (string, int) {
+// runCommand runs the program and returns its output and exit code.
+func runCommand(c *qt.C, args ...string) (string, int) {
 	cmd := exec.Command(binary, args...)
 	cmd.Env = append(os.Environ(), "FILBERTMILL_AUTHOR=ann")
 	out, err := cmd.CombinedOutput()
@@ -29,7 +29,7 @@
 	f := startCluster(c, cluster.Options{Nodes: 3, Services: 1, TargetsEach: 2})
 	store, dir := f.Platform.URL(), c.TempDir()
 	file := filepath.Join(dir, "fleet.ini")
-	shown, code := command(c, "config", "show", "--store", store)
+	shown, code := runCommand(c, "config", "show", "--store", store)
 	c.Assert(code, qt.Equals, 0)
 	edited := strings.Replace(shown, "[service service-0]\n", "[service service-0]\nqueue_limit = 300\n", 1)
 	edited, _, _ = strings.Cut(edited, "[exception change]")
@@ -59,7 +59,7 @@
 		if step.desc == "status" {
 			awaitRevision(c, f, r, 3)
 		}
-		out, code := command(c, step.args...)
+		out, code := runCommand(c, step.args...)
 		c.Assert(code, qt.Equals, step.code, qt.Commentf("%s: %s", step.desc, out))
 		c.Assert(out, qt.Contains, step.want, qt.Commentf(step.desc))
 	}
