--- a/node/control.go
+++ b/node/control.go
@@ -32,12 +32,16 @@
 	leaving map[string]bool
 	pools   map[string]*servicePool
 	poison  *poison.Tracker
+	once    onceState
 	seed    uint64
 }
 
 // environment is what the control goroutine needs of its node.
 type environment interface {
 	event.Sink
+	onceEnvironment
+	// spreadQuarantine tells the successors of a home of a poison request.
+	spreadQuarantine(e poison.Entry)
 	// probe asks for an observation of a target; the answer comes as a command.
 	probe(service, target, address, path string, origin pool.Origin)
 }
@@ -53,6 +57,7 @@
 		leaving: make(map[string]bool),
 		pools:   make(map[string]*servicePool),
 		poison:  poison.NewTracker(poison.DefaultConfig()),
+		once:    newOnceState(),
 		seed:    seed,
 	}
 }
@@ -103,6 +108,9 @@
 			wait = min(wait, max(next.Sub(now), time.Millisecond))
 		}
 	}
+	for _, s := range c.once.homes {
+		wait = min(wait, s.tick(now))
+	}
 	return wait
 }
 
