--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -126,11 +126,21 @@
 	tests := []struct {
 		desc string
 		lose func(c *qt.C, f *cluster.Cluster, home string)
+		back func(c *qt.C, f *cluster.Cluster, home string)
 	}{
-		{"crash", func(_ *qt.C, f *cluster.Cluster, home string) { f.Kill(home) }},
-		{"pause", func(c *qt.C, f *cluster.Cluster, home string) {
-			c.Assert(f.Nodes[home].Pause(), qt.IsNil)
-		}},
+		{
+			"crash",
+			func(_ *qt.C, f *cluster.Cluster, home string) { f.Kill(home) },
+			func(c *qt.C, f *cluster.Cluster, home string) {
+				c.Assert(f.StartNode(f.Index(home)), qt.IsNil)
+				c.Assert(f.Nodes[home].Ready(limited(c)), qt.IsNil)
+			},
+		},
+		{
+			"pause",
+			func(c *qt.C, f *cluster.Cluster, home string) { c.Assert(f.Nodes[home].Pause(), qt.IsNil) },
+			func(c *qt.C, f *cluster.Cluster, home string) { c.Assert(f.Nodes[home].Resume(), qt.IsNil) },
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -147,6 +157,11 @@
 			for range 20 {
 				c.Assert(get(c, f, entry, cluster.Service(0)), qt.Equals, http.StatusOK)
 			}
+			test.back(c, f, home)
+			c.Assert(f.AwaitMembers(limited(c), 6), qt.IsNil)
+			for i := range 6 {
+				c.Assert(get(c, f, i, cluster.Service(0)), qt.Equals, http.StatusOK)
+			}
 		})
 	}
 }
