--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -6,11 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -24,7 +24,8 @@
 	maxInbound = 512
 )
 
-// ErrBackingOff reports a peer that is not dialled yet after earlier failures.
+// ErrBackingOff reports a peer that may not be dialled again, after earlier
+// failures, before the caller's deadline.
 var ErrBackingOff = errors.New("waiting before the next connection attempt")
 
 // Peer says what is needed to reach a node.
@@ -71,9 +72,14 @@
 
 // link is the outgoing side towards one control address.
 type link struct {
-	mu      sync.Mutex
+	// busy holds a token while a caller looks at or opens the connection.
+	busy    chan struct{}
 	conn    *conn
 	backoff Backoff
+	// name is the peer's name; heard says that it has connected to this node
+	// since the last attempt to reach it.
+	name  string
+	heard atomic.Bool
 }
 
 // New returns a Transport that can send; Serve makes it receive.
@@ -134,7 +140,7 @@
 // Send delivers a message without a reply. A nil error means that it was
 // handed to the connection, not that it arrived.
 func (t *Transport) Send(ctx context.Context, to Peer, kind Kind, msg any) error {
-	body, err := cbor.Marshal(msg)
+	body, err := encoding.Marshal(msg)
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
@@ -148,7 +154,7 @@
 // Call delivers a message and decodes the answer into reply, unless that is
 // nil. A failure reported by the other node is a *RemoteError.
 func (t *Transport) Call(ctx context.Context, to Peer, kind Kind, msg, reply any) error {
-	body, err := cbor.Marshal(msg)
+	body, err := encoding.Marshal(msg)
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
@@ -175,13 +181,17 @@
 	t.mu.Lock()
 	l := t.links[to.ControlAddress]
 	if l == nil {
-		l = &link{}
+		l = &link{busy: make(chan struct{}, 1), name: to.Name}
 		t.links[to.ControlAddress] = l
 	}
 	t.mu.Unlock()
 
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	select {
+	case l.busy <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "connect to %s", to.Name)
+	}
+	defer func() { <-l.busy }()
 	if l.conn != nil {
 		select {
 		case <-l.conn.done:
@@ -194,8 +204,8 @@
 			l.conn = nil
 		}
 	}
-	if l.backoff.Wait(time.Now()) > 0 {
-		return nil, errors.Wrapf(ErrBackingOff, "connect to %s", to.Name)
+	if err := l.awaitTurn(ctx); err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", to.Name)
 	}
 	c, err := t.dial(ctx, to)
 	if err != nil {
@@ -209,6 +219,40 @@
 	return c, nil
 }
 
+// awaitTurn waits until the link may be dialled again. A peer that has
+// connected to this node may be dialled at once.
+func (l *link) awaitTurn(ctx context.Context) error {
+	if l.heard.Swap(false) {
+		l.backoff.Succeed()
+	}
+	wait := l.backoff.Wait(time.Now())
+	if wait == 0 {
+		return nil
+	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait {
+		return ErrBackingOff
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// hear notes that a peer has connected to this node.
+func (t *Transport) hear(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		if l.name == name {
+			l.heard.Store(true)
+		}
+	}
+}
+
 func (t *Transport) dial(ctx context.Context, to Peer) (*conn, error) {
 	if err := t.ctx.Err(); err != nil {
 		return nil, ErrClosed
@@ -254,6 +298,7 @@
 		ws.CloseNow()
 		return
 	}
+	t.hear(s.peer)
 	ws.SetReadLimit(MaxMessageBytes + sealBytes)
 	newConn(t, ws, roleAcceptor, s).run(t.ctx)
 }
@@ -292,7 +337,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for address, l := range t.links {
-		if !l.mu.TryLock() {
+		select {
+		case l.busy <- struct{}{}:
+		default:
 			continue
 		}
 		if l.conn != nil && l.conn.idle(now) > idleTimeout {
@@ -302,6 +349,6 @@
 		if l.conn == nil && l.backoff.Wait(now) == 0 {
 			delete(t.links, address)
 		}
-		l.mu.Unlock()
+		<-l.busy
 	}
 }
--- a/fleet/control/transport_test.go
+++ b/fleet/control/transport_test.go
@@ -175,3 +175,47 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+func TestCallerDoesNotWaitForAnothersDial(t *testing.T) {
+	// The listener takes connections and never answers, like a paused node.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	a, _ := start(t, "a", testKey)
+	silent := Peer{Name: "silent", ControlAddress: l.Addr().String()}
+	ctx, stop := context.WithCancel(testContext(t))
+	slow := make(chan error, 1)
+	go func() { slow <- a.Call(ctx, silent, "echo", ping{}, nil) }()
+	for a.Counters().Dials == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	hurried, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	err = a.Call(hurried, silent, "echo", ping{}, nil)
+	qt.Assert(t, errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
+	qt.Assert(t, len(slow), qt.Equals, 0)
+	stop()
+	qt.Assert(t, <-slow, qt.IsNotNil)
+}
+
+func TestPeerThatConnectsIsDialledAtOnce(t *testing.T) {
+	a, toA := start(t, "a", testKey)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	toB := Peer{Name: "b", ControlAddress: l.Addr().String()}
+	qt.Assert(t, l.Close(), qt.IsNil)
+	ctx := testContext(t)
+	a.Handle("echo", echo)
+	for range 5 {
+		qt.Assert(t, a.Call(ctx, toB, "echo", ping{}, nil), qt.IsNotNil)
+	}
+	again, err := net.Listen("tcp", toB.ControlAddress)
+	qt.Assert(t, err, qt.IsNil)
+	b, _ := startOn(t, "b", testKey, again)
+	b.Handle("echo", echo)
+	qt.Assert(t, b.Call(ctx, toA, "echo", ping{}, nil), qt.IsNil)
+	// The wait after five failures is at least 1.6 s.
+	hurried, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	qt.Assert(t, a.Call(hurried, toB, "echo", ping{}, nil), qt.IsNil)
+}
--- /dev/null
+++ b/integration/poison_test.go
@@ -0,0 +1,112 @@
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/outcome"
+	"filbertmill.example/testbed/answer"
+	"filbertmill.example/testbed/target"
+)
+
+// crashCount returns how often the targets crashed in all.
+func crashCount(targets []*target.Target) int {
+	n := 0
+	for _, t := range targets {
+		n += t.Crashes()
+	}
+	return n
+}
+
+// crashedTargets returns how many targets crashed at all.
+func crashedTargets(targets []*target.Target) int {
+	n := 0
+	for _, t := range targets {
+		if t.Crashes() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// A request that crashes each target that runs it comes again and again,
+// through all nodes. It costs two targets; other requests go on.
+func TestPoisonRequestCostsTwoTargets(t *testing.T) {
+	c := qt.New(t)
+	crashing := target.Config{CrashFor: 300 * time.Millisecond}
+	targets, ini := startTargets(c, "statusdesk", crashing, crashing, crashing, crashing)
+	f := startFleet(c, 3, pathConfig+ini)
+	poisoned := func(i int) reply {
+		return sending{
+			method: "POST", url: f.url(i%3, "/status/van?id=7"), id: fmt.Sprint("bad", i), body: "rug 12",
+			header: map[string]string{answer.HeaderPoison: "1"},
+		}.send()
+	}
+	ordinary := func(i int) reply {
+		return sending{method: "POST", url: f.url(i%3, "/status/van?id=7"), id: fmt.Sprint("good", i), body: fmt.Sprint("rug ", i)}.send()
+	}
+
+	for i := range 12 {
+		r := poisoned(i)
+		c.Assert(r.failure, qt.IsNil)
+		if i < 2 {
+			c.Check(r.kind, qt.Equals, outcome.Unknown, qt.Commentf("%s", r.reason))
+		} else {
+			c.Check(r.kind, qt.Equals, outcome.NotRun)
+			c.Check(r.reason, qt.Equals, string(outcome.ReasonPoison))
+			c.Check(r.status, qt.Equals, 422)
+		}
+		o := ordinary(i)
+		c.Assert(o.failure, qt.IsNil)
+		c.Check(o.kind, qt.Equals, outcome.Run, qt.Commentf("ordinary request %d: %s", i, o.reason))
+	}
+	c.Assert(crashCount(targets), qt.Equals, 2)
+	list, code := command(c, "poison", "list", "--admin", f.nodes[2].Spec.Admin)
+	c.Assert(code, qt.Equals, 0)
+	c.Logf("%s", list)
+	c.Assert(strings.Count(list, "statusdesk"), qt.Equals, 3, qt.Commentf("service and two targets: %s", list))
+	fingerprint := strings.Fields(strings.Split(list, "\n")[1])[0]
+
+	out, code := command(c, "poison", "release", "--admin", f.nodes[0].Spec.Admin, fingerprint)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	list, _ = command(c, "poison", "list", "--admin", f.nodes[1].Spec.Admin)
+	c.Assert(list, qt.Contains, "no request is in quarantine")
+	c.Assert(poisoned(12).kind, qt.Equals, outcome.Unknown)
+	c.Assert(crashCount(targets), qt.Equals, 3)
+	_, code = command(c, "poison", "release", "--admin", f.nodes[0].Spec.Admin, fingerprint)
+	c.Assert(code, qt.Equals, 1)
+}
+
+// The nodes that may take the home's place know its quarantines.
+func TestQuarantineOutlivesTheHome(t *testing.T) {
+	c := qt.New(t)
+	f := startBookings(c, 3)
+	sendings := 0
+	poisoned := func(i int) reply {
+		sendings++
+		s := f.booking(i, fmt.Sprint("bad", sendings), answer.HeaderPoison, "1")
+		s.body = "the rug that crashes"
+		return s.send()
+	}
+	sent := 0
+	for poisoned(sent%3).reason != string(outcome.ReasonPoison) {
+		sent++
+		c.Assert(sent < 20, qt.IsTrue)
+	}
+	c.Assert(crashedTargets(f.targets), qt.Equals, 2)
+	crashes := crashCount(f.targets)
+
+	home := f.holder(c)
+	f.nodes[home].Kill()
+	for i := range 4 {
+		r := poisoned((home + 1) % 3)
+		c.Assert(r.kind, qt.Equals, outcome.NotRun, qt.Commentf("%d: %s", i, r.reason))
+	}
+	c.Assert(crashCount(f.targets), qt.Equals, crashes)
+	ordinary := f.book((home+1)%3, "van-1")
+	c.Assert(ordinary.kind, qt.Equals, outcome.Run, qt.Commentf("%s", ordinary.body))
+}
--- a/node/forward.go
+++ b/node/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
@@ -22,18 +23,20 @@
 
 // serve runs a request here or at its service's home.
 func (n *Node) serve(ctx context.Context, r *request) result {
-	if r.service.Variant == dynamic.VariantDirect {
+	if r.service.Variant == dynamic.VariantDirect && r.key == "" {
 		return n.runHere(ctx, r)
 	}
 	last := refused(outcome.ReasonNoHome, "")
 	for _, m := range n.homes(r.service.Name) {
 		if m.Name() == n.settings.Name {
-			return n.runHere(ctx, r)
+			return combine(last, n.runAtHome(ctx, r))
 		}
 		res, next := n.forward(ctx, r, m)
+		res = combine(last, res)
 		if !next {
 			return res
 		}
+		res.settled(nil)
 		last = res
 		n.Emit(event.Event{
 			Time: time.Now(), Kind: event.KindFailover, Service: r.service.Name, Request: r.id,
@@ -48,10 +51,10 @@
 func (n *Node) forward(ctx context.Context, r *request, m fleet.Member) (result, bool) {
 	out := r.copyOnward()
 	n.sign(out, r)
-	ans, f := n.client.Do(ctx, exchange.Call{
+	hop, release := n.guardHome(ctx, r, m)
+	ans, f := n.client.Do(hop, exchange.Call{
 		Address:          m.Peer.PeerAddress,
 		Request:          out,
-		Fresh:            !r.idempotent,
 		MaxResponseBytes: r.route.MaxResponseBytes,
 	})
 	var body *answerBody
@@ -62,16 +65,28 @@
 		}
 	}
 	if f != nil {
-		return n.forwardFailed(ctx, r, m, f)
+		defer release()
+		return n.forwardFailed(ctx, hop, r, m, f)
 	}
-	res := hopResult(ans, body)
-	again := res.outcome.Reason == outcome.ReasonShutdown && r.body.replayable()
-	return res, again
+	res := hopResult(ans, body, release)
+	if res.outcome.Reason == outcome.ReasonShutdown {
+		n.suspect(m.Name())
+	}
+	return res, declined(res.outcome.Reason) && r.body.replayable()
+}
+
+// declined reports whether a home gave a request back for another to serve: it
+// is shutting down, or has no configuration with the route yet.
+func declined(r outcome.Reason) bool {
+	return r == outcome.ReasonShutdown || r == outcome.ReasonNoRoute
 }
 
 // forwardFailed says what became of a request whose hop to the home failed.
-func (n *Node) forwardFailed(ctx context.Context, r *request, m fleet.Member, f *exchange.Failure) (result, bool) {
+func (n *Node) forwardFailed(ctx, hop context.Context, r *request, m fleet.Member, f *exchange.Failure) (result, bool) {
 	switch {
+	case errors.Is(context.Cause(hop), errHomeUnresponsive):
+		n.suspect(m.Name())
+		return refused(outcome.ReasonHomeLost, errHomeUnresponsive.Error()), r.resendableToHome()
 	case f.Cause == exchange.CauseCancelled || f.Cause == exchange.CauseRequestBody:
 		return refused(outcome.ReasonCallerLeft, f.Error()), false
 	case f.NotSent() && ctx.Err() == nil:
@@ -83,18 +98,18 @@
 		return refused(outcome.ReasonTimeout, f.Error()), false
 	}
 	n.suspect(m.Name())
-	return refused(outcome.ReasonHomeLost, f.Error()), r.resendable()
+	return refused(outcome.ReasonHomeLost, f.Error()), r.resendableToHome()
 }
 
 // hopResult reads the answer of a home.
-func hopResult(ans *exchange.Answer, body *answerBody) result {
+func hopResult(ans *exchange.Answer, body *answerBody, release context.CancelFunc) result {
 	h := &ans.Response.Header
 	o, _ := outcome.Parse(
 		string(h.Peek(outcome.Header)),
 		string(h.Peek(outcome.ReasonHeader)),
 		string(h.Peek(headerRetryAfter)),
 	)
-	res := result{outcome: o, settle: func(error) { _ = ans.Body.Close() }}
+	res := result{outcome: o, settle: func(error) { _ = ans.Body.Close(); release() }}
 	if o.Kind == outcome.Run {
 		res.response = ans.Response
 		res.body = body
--- a/node/home.go
+++ b/node/home.go
@@ -26,6 +26,10 @@
 	body    *answerBody
 	start   time.Time
 	id      pool.RequestID
+	// crashed says that nothing listened at the target after it broke off.
+	crashed bool
+	// release frees the context of the exchange.
+	release context.CancelFunc
 }
 
 // runHere runs a request on the targets of its service, as their home.
@@ -35,18 +39,23 @@
 	for try := 1; ; try++ {
 		g, id := n.admit(ctx, r, exclude)
 		if g.refusal != nil {
+			n.emitRefusal(r, g)
 			if try > 1 {
 				return last
 			}
-			return result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter)}
+			return result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter), unsent: true}
 		}
 		a := n.try(ctx, r, g, id)
-		last = n.conclude(r, a)
-		if try == maxAttempts || !n.mayRetry(ctx, r, a) {
+		res := n.conclude(r, a)
+		res.unsent = a.unsent() && (try == 1 || last.unsent)
+		if try > 1 {
+			res = combine(last, res)
+		}
+		last = res
+		if try == maxAttempts || !n.mayRetry(ctx, r, a, try) {
 			return last
 		}
-		last.settle(nil)
-		last.settle = nil
+		last.settled(nil)
 		exclude = append(exclude, a.target)
 		n.Emit(event.Event{
 			Time: time.Now(), Kind: event.KindRetry, Service: r.service.Name, Target: a.target,
@@ -55,13 +64,20 @@
 	}
 }
 
+// unsent reports whether no byte of the request was written.
+func (a *attempt) unsent() bool {
+	return a.failure != nil && a.failure.NotSent()
+}
+
 // admit waits until the Scheduler starts the request on a target or refuses it.
 func (n *Node) admit(ctx context.Context, r *request, exclude []string) (grant, pool.RequestID) {
 	id := pool.RequestID(n.lastID.Add(1))
 	reply := make(chan grant, 1)
 	sent := n.control.send(submitCommand{
-		service: r.service.Name,
-		reply:   reply,
+		service:     r.service.Name,
+		reply:       reply,
+		fingerprint: r.fingerprint(),
+		name:        r.id,
 		request: pool.Request{
 			ID:         id,
 			Route:      r.route.Name,
@@ -93,10 +109,12 @@
 	out := r.copyOnward()
 	out.Header.Set(headerTimeout, strconv.FormatInt(r.timeLeft(a.start), 10))
 	out.Header.Set(headerRequestID, r.id)
+	ctx, a.release = r.untilEnd(ctx)
 	a.answer, a.failure = n.client.Do(ctx, exchange.Call{
 		Address:          g.address,
 		Request:          out,
 		Fresh:            !r.idempotent,
+		Spares:           g.slots,
 		MaxResponseBytes: r.route.MaxResponseBytes,
 	})
 	if a.failure == nil {
@@ -108,6 +126,7 @@
 	}
 	if a.failure != nil {
 		a.verdict = failureVerdict(a.failure)
+		a.crashed = a.verdict == pool.VerdictReset && isDown(g.address)
 		return a
 	}
 	a.leaving = len(a.answer.Response.Header.Peek(headerTargetLeaving)) > 0
@@ -200,23 +219,6 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// mayRetry reports whether the request may be offered to another target.
-func (n *Node) mayRetry(ctx context.Context, r *request, a attempt) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if a.body != nil && a.body.stream != nil {
-		return false
-	}
-	switch a.verdict {
-	case pool.VerdictAnswered, pool.VerdictCancelled, pool.VerdictTimeout:
-		return false
-	case pool.VerdictUnreachable, pool.VerdictRefused:
-		return r.body.replayable()
-	}
-	return r.resendable()
-}
-
 // finish reports the end of an attempt to the Scheduler. A non-nil err says
 // that the answer's body broke off while it was passed on.
 func (n *Node) finish(r *request, a attempt, err error) {
@@ -227,9 +229,14 @@
 	if a.answer != nil {
 		_ = a.answer.Body.Close()
 	}
+	a.release()
 	n.control.send(finishCommand{
 		service: r.service.Name,
 		id:      a.id,
 		result:  pool.Result{Verdict: verdict, Latency: time.Since(a.start), Leaving: a.leaving},
+		attempt: attemptEnd{
+			target: a.target, route: r.route.Name, request: r.id,
+			fingerprint: r.fingerprint(), start: a.start, crashed: a.crashed,
+		},
 	})
 }
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -1,34 +1,60 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
 	"filbertmill.example/pool"
+	"filbertmill.example/retry"
 )
 
 // servicePool ties one service's Scheduler to the node; it is the Scheduler's
 // Delegate and belongs to the control goroutine.
 type servicePool struct {
-	control *controlLoop
-	service *dynamic.Service
-	sched   pool.Scheduler
-	address map[string]string
-	waiting map[pool.RequestID]chan<- grant
+	control   *controlLoop
+	service   *dynamic.Service
+	sched     pool.Scheduler
+	endpoints map[string]endpoint
+	retries   *retry.Budget
+	waiting   map[pool.RequestID]waiter
+	// explained is the attempt whose refusal the Scheduler has just recorded.
+	explained pool.RequestID
+}
+
+// endpoint says where a target listens and how many requests it runs at once.
+type endpoint struct {
+	address string
+	slots   int
+}
+
+// waiter is where the grant of an attempt goes, and the id that the caller
+// gave the request.
+type waiter struct {
+	reply   chan<- grant
+	request string
 }
 
 // grant answers an admission: a target to run on, or a refusal.
 type grant struct {
 	target  string
 	address string
+	slots   int
 	refusal *pool.Refusal
+	// explained says that an event on the refusal was recorded.
+	explained bool
 }
 
 // newServicePool makes the pool of a service with the targets listed for it.
 func newServicePool(c *controlLoop, svc *dynamic.Service, now time.Time) *servicePool {
-	p := &servicePool{control: c, waiting: make(map[pool.RequestID]chan<- grant)}
+	p := &servicePool{
+		control: c,
+		waiting: make(map[pool.RequestID]waiter),
+		retries: retry.NewBudget(retryConfig(svc)),
+	}
 	cfg := poolConfig(svc, c.config.Targets)
 	if svc.Variant == dynamic.VariantDirect {
 		p.sched = pool.NewDirect(cfg, p, c.seed)
@@ -42,14 +68,16 @@
 // configure brings a configuration into force.
 func (p *servicePool) configure(svc *dynamic.Service, now time.Time) {
 	p.service = svc
-	p.address = make(map[string]string)
+	p.retries.SetConfig(retryConfig(svc))
+	p.endpoints = make(map[string]endpoint)
 	var targets []pool.Target
 	for _, t := range p.control.config.Targets {
 		if t.Service != svc.Name {
 			continue
 		}
-		p.address[t.Name] = t.Address
-		targets = append(targets, poolTarget(svc, t, p.control.leaving[t.Name]))
+		pt := poolTarget(svc, t, p.control.leaving[t.Name])
+		targets = append(targets, pt)
+		p.endpoints[t.Name] = endpoint{address: t.Address, slots: pt.Slots}
 	}
 	p.sched.SetConfig(now, poolConfig(svc, p.control.config.Targets))
 	p.sched.SetTargets(now, targets)
@@ -101,45 +129,50 @@
 
 // Start implements pool.Delegate.
 func (p *servicePool) Start(id pool.RequestID, target string) {
-	p.answer(id, grant{target: target, address: p.address[target]})
+	e := p.endpoints[target]
+	p.answer(id, grant{target: target, address: e.address, slots: e.slots})
 }
 
 // Refuse implements pool.Delegate.
 func (p *servicePool) Refuse(id pool.RequestID, r pool.Refusal) {
-	p.answer(id, grant{refusal: &r})
-	p.Event(event.Event{
-		Time: p.control.now(), Kind: event.KindRefusal, Rule: string(r.Reason),
-		Evidence: event.Evidence{Wait: r.RetryAfter},
-	})
+	p.answer(id, grant{refusal: &r, explained: p.explained == id})
 }
 
 // answer hands a grant to the goroutine that waits for it.
 func (p *servicePool) answer(id pool.RequestID, g grant) {
-	ch, ok := p.waiting[id]
+	w, ok := p.waiting[id]
 	if !ok {
 		return
 	}
 	delete(p.waiting, id)
-	ch <- g
+	w.reply <- g
 }
 
 // Probe implements pool.Delegate.
 func (p *servicePool) Probe(target string, origin pool.Origin) {
-	p.control.env.probe(p.service.Name, target, p.address[target], p.service.ProbePath, origin)
+	p.control.env.probe(p.service.Name, target, p.endpoints[target].address, p.service.ProbePath, origin)
 }
 
-// Event implements pool.Delegate.
+// Event implements pool.Delegate. The Scheduler knows attempts by their own
+// ids; operators know requests by those of the callers.
 func (p *servicePool) Event(e event.Event) {
 	e.Service = p.service.Name
+	if id, err := strconv.ParseUint(e.Request, 10, 64); err == nil {
+		p.explained = pool.RequestID(id)
+		e.Request = p.waiting[p.explained].request
+	}
 	p.control.env.Emit(e)
 }
 
 // submitCommand offers an attempt; the grant comes on reply, which must have
 // room for one.
 type submitCommand struct {
-	service string
-	request pool.Request
-	reply   chan<- grant
+	service     string
+	request     pool.Request
+	fingerprint poison.Fingerprint
+	reply       chan<- grant
+	// name is the request's id as the caller gave it.
+	name string
 }
 
 func (m submitCommand) apply(c *controlLoop, now time.Time) {
@@ -148,7 +181,13 @@
 		m.reply <- grant{refusal: &pool.Refusal{Reason: outcome.ReasonNoTarget}}
 		return
 	}
-	p.waiting[m.request.ID] = m.reply
+	if p.refuseIfPoison(now, m) {
+		return
+	}
+	if len(m.request.Exclude) == 0 {
+		p.retries.Request(now)
+	}
+	p.waiting[m.request.ID] = waiter{reply: m.reply, request: m.name}
 	p.sched.Submit(now, m.request)
 }
 
@@ -179,11 +218,23 @@
 	service string
 	id      pool.RequestID
 	result  pool.Result
+	attempt attemptEnd
+}
+
+// attemptEnd is what the poison tracker must know of an attempt.
+type attemptEnd struct {
+	target      string
+	route       string
+	request     string
+	fingerprint poison.Fingerprint
+	start       time.Time
+	crashed     bool
 }
 
 func (m finishCommand) apply(c *controlLoop, now time.Time) {
 	if p := c.pools[m.service]; p != nil {
 		p.sched.Finish(now, m.id, m.result)
+		p.judge(now, m)
 	}
 }
 
