--- a/pool/admission.go
+++ b/pool/admission.go
@@ -57,7 +57,7 @@
 // expectedWait returns how long the waiting work of the class keeps the slots
 // for it busy.
 func (h *home) expectedWait(now time.Time, c class) time.Duration {
-	return h.queue.work(c) / time.Duration(h.slotsFor(now, c))
+	return h.drainTime(now, c, h.queue.backlog(c))
 }
 
 // spare returns the time that a has beyond its expected service time.
@@ -66,13 +66,16 @@
 }
 
 // allowedWait returns the longest wait after which a likely ends in time, and
-// which leaves the queue short enough for callers in more of a hurry.
+// which leaves the queue short enough for callers in more of a hurry. Long work
+// waits no longer than about LongWait.
 func (h *home) allowedWait(now time.Time, a *attempt) time.Duration {
-	spare := a.spare(now)
-	if a.class == classShort {
-		spare = h.haste.bound(spare)
+	wait := func(spare time.Duration) time.Duration {
+		return time.Duration(h.cfg.QueueWaitShare * float64(spare))
+	}
+	if a.class == classLong {
+		return min(wait(a.spare(now)), h.cfg.LongWait)
 	}
-	return time.Duration(h.cfg.QueueWaitShare * float64(spare))
+	return wait(h.haste.bound(a.spare(now)))
 }
 
 // hopeless says that a waiting attempt cannot end in time any more.
--- a/pool/caller.go
+++ b/pool/caller.go
@@ -59,14 +59,14 @@
 	if a.Caller == "" || h.cfg.CallerShare >= 1 || h.queue.len() == 0 {
 		return false
 	}
-	own, n := h.queue.workOf(a.Caller, a.class)
-	if n == 0 || !h.callers.others(now, a.Caller) {
+	own := h.queue.backlogOf(a.Caller, a.class)
+	if own.attempts == 0 || !h.callers.others(now, a.Caller) {
 		return false
 	}
 	allowed := h.cfg.CallerShare * float64(h.allowedWait(now, a))
-	wait := own / time.Duration(h.slotsFor(now, a.class))
+	wait := h.drainTime(now, a.class, own)
 	places := int(math.Ceil(h.cfg.CallerShare * float64(h.cfg.QueueLimit)))
-	return float64(wait) > allowed || n >= places
+	return float64(wait) > allowed || own.attempts >= places
 }
 
 // mayStart says whether a's caller may take another slot: one that holds its
--- a/pool/long.go
+++ b/pool/long.go
@@ -175,19 +175,37 @@
 // correctWaiting counts waiting attempts as the class that is known now, and
 // gives up those that can no longer start in time.
 func (h *home) correctWaiting(now time.Time) {
-	var ahead [numClasses]time.Duration
+	var ahead [numClasses]backlog
 	for _, a := range slices.Clone(h.queue.inOrder(h.cfg.Order, now)) {
 		a.class = h.classOf(a.route)
-		wait := ahead[a.class] / time.Duration(h.slotsFor(now, a.class))
-		if wait > a.spare(now) {
+		if h.drainTime(now, a.class, ahead[a.class]) > h.remainingWait(now, a) {
 			h.queue.remove(a.ID)
 			h.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: h.retryAfter(now, a)})
 			continue
 		}
-		ahead[a.class] += a.route.mean
+		ahead[a.class].add(a)
 	}
 }
 
+// remainingWait returns how much longer a may wait: until its spare time is
+// over, and long work no longer than twice LongWait in all.
+func (h *home) remainingWait(now time.Time, a *attempt) time.Duration {
+	spare := a.spare(now)
+	if a.class != classLong {
+		return spare
+	}
+	return min(spare, 2*h.cfg.LongWait-now.Sub(a.submitted))
+}
+
+// drainTime returns how long the backlog of the class keeps the slots for it
+// busy. Where long work has no slots, each piece waits for LongWait first.
+func (h *home) drainTime(now time.Time, c class, b backlog) time.Duration {
+	if c == classLong && h.longSlots(now) == 0 {
+		return b.work + time.Duration(b.attempts)*h.cfg.LongWait
+	}
+	return b.work / time.Duration(h.slotsFor(now, c))
+}
+
 // slotsFor returns the slots that work of the class may count on, at least one.
 func (h *home) slotsFor(now time.Time, c class) int {
 	switch c {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -44,29 +44,38 @@
 	return nil
 }
 
-// work returns the expected service time of the class that waits.
-func (q *queue) work(c class) time.Duration {
-	var sum time.Duration
+// backlog is what waits of one class.
+type backlog struct {
+	attempts int
+	// work is the expected service time of all attempts together.
+	work time.Duration
+}
+
+func (b *backlog) add(a *attempt) {
+	b.attempts++
+	b.work += a.route.mean
+}
+
+// backlog returns what waits of the class.
+func (q *queue) backlog(c class) backlog {
+	var b backlog
 	for _, a := range q.waiting {
 		if a.class == c {
-			sum += a.route.mean
+			b.add(a)
 		}
 	}
-	return sum
+	return b
 }
 
-// workOf returns the expected service time of what the caller has waiting of
-// the class, and the number of its attempts.
-func (q *queue) workOf(caller string, c class) (time.Duration, int) {
-	var sum time.Duration
-	n := 0
+// backlogOf returns what waits of the class for one caller.
+func (q *queue) backlogOf(caller string, c class) backlog {
+	var b backlog
 	for _, a := range q.waiting {
 		if a.Caller == caller && a.class == c {
-			sum += a.route.mean
-			n++
+			b.add(a)
 		}
 	}
-	return sum, n
+	return b
 }
 
 // inOrder returns the waiting attempts in the order in which they start.
--- a/pool/state.go
+++ b/pool/state.go
@@ -73,7 +73,6 @@
 		Permit(triggerLeave, StateDraining)
 	m.Configure(StateProbation).
 		Permit(triggerRestore, StateServing).
-		Permit(triggerAbsolve, StateServing).
 		Permit(triggerEject, StateEjected).
 		Permit(triggerLeave, StateDraining)
 	m.Configure(StateDraining).
