--- a/node/listener.go
+++ b/node/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -25,6 +26,9 @@
 	closeTimeout = time.Second
 )
 
+// silenceHertz keeps hertz's own lines out of the log, which is JSON.
+var silenceHertz = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // bodyMode says how a listener reads request bodies.
 type bodyMode bool
 
@@ -46,7 +50,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	hlog.SetLevel(hlog.LevelFatal)
+	silenceHertz()
 	opts := []config.Option{
 		server.WithListener(ln),
 		server.WithTransport(standard.NewTransporter),
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,7 @@
 		return nil, err
 	}
 	n.connectReports(n.membership.transport)
+	n.membership.transport.Handle(kindLook, n.answerLook)
 	n.connectWitness(n.membership.transport)
 	n.connectPoison(n.membership.transport)
 	if err := n.listen(); err != nil {
--- a/node/routes.go
+++ b/node/routes.go
@@ -15,6 +15,7 @@
 type routeTable struct {
 	byHost   map[string][]*dynamic.Route
 	services map[string]*dynamic.Service
+	targets  map[string]*dynamic.Target
 }
 
 // newRouteTable indexes the routes of a configuration, longest prefix first.
@@ -22,6 +23,10 @@
 	t := &routeTable{
 		byHost:   make(map[string][]*dynamic.Route),
 		services: make(map[string]*dynamic.Service),
+		targets:  make(map[string]*dynamic.Target),
+	}
+	for i := range cfg.Targets {
+		t.targets[cfg.Targets[i].Name] = &cfg.Targets[i]
 	}
 	for i := range cfg.Services {
 		t.services[cfg.Services[i].Name] = &cfg.Services[i]
@@ -68,6 +73,15 @@
 	return nil
 }
 
+// endpoint returns the address of a service's target and its probe path.
+func (t *routeTable) endpoint(service, target string) (address, path string, ok bool) {
+	svc, tgt := t.services[service], t.targets[target]
+	if svc == nil || tgt == nil || tgt.Service != service {
+		return "", "", false
+	}
+	return tgt.Address, svc.ProbePath, true
+}
+
 // matchPrefix returns the first route whose prefix holds whole segments of path.
 func matchPrefix(list []*dynamic.Route, path string) *dynamic.Route {
 	for _, r := range list {
