--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -80,7 +80,7 @@
 
 // url returns a URL on which the i-th node serves callers.
 func (f *fleet) url(i int, path string) string {
-	return "http://" + f.nodes[i].Spec.Callers + path
+	return "http://" + f.specs[i].Callers + path
 }
 
 // startTargets starts stand-ins of a service and returns them with their part
