--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -50,10 +50,13 @@
 	Seed uint64
 }
 
-// configuration is a document in force together with its parsed form.
+// configuration is a document in force together with its parsed form and those
+// that it replaced.
 type configuration struct {
 	document Document
 	parsed   *dynamic.Config
+	replaced []Document
+	packed   packCache
 }
 
 // Agent takes part in a fleet on behalf of one node. Its control goroutine
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -274,3 +276,25 @@
 		}
 	})
 }
+
+func TestOnlyTheDifferenceTravels(t *testing.T) {
+	inFleet(t, 12, func(t *testing.T, f *testFleet) {
+		var text strings.Builder
+		for i := range 4000 {
+			fmt.Fprintf(&text, "[target target-%d]\naddress = 10.0.%d.%d:80\n", i, mix(uint64(i))%256, mix(uint64(i)+7)%256)
+		}
+		f.put(2, text.String())
+		f.awaitRevision(2, inForceLimit)
+		time.Sleep(10 * time.Second)
+		_, before := f.net.counts()
+		f.put(3, text.String()+"[target one-more]\n")
+		f.awaitRevision(3, inForceLimit)
+		_, after := f.net.counts()
+		t.Logf("%d bytes for a change in a text of %d bytes to 12 nodes", after-before, text.Len())
+		qt.Assert(t, after-before < text.Len()/4, qt.IsTrue, qt.Commentf("%d bytes", after-before))
+		for _, n := range f.nodes {
+			_, d := n.agent.Configuration()
+			qt.Assert(t, string(d.Text), qt.Equals, text.String()+"[target one-more]\n")
+		}
+	})
+}
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -62,5 +62,11 @@
 	Version Version `cbor:"1,keyasint"`
 }
 
+// documentRequest asks for the configuration in force; the answer is a
+// packedDocument, as a delta if the answering node still has Have.
+type documentRequest struct {
+	Have Version `cbor:"1,keyasint"`
+}
+
 // empty is a message without content.
 type empty struct{}
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/fleet/control"
@@ -84,15 +86,31 @@
 func (a *Agent) fetchDocument(ctx context.Context, peer control.Peer) (parsed, error) {
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
-	var d Document
-	if err := a.cfg.Transport.Call(ctx, peer, kindDocument, empty{}, &d); err != nil {
+	have := a.inForce.Load().document
+	d, err := a.callDocument(ctx, peer, have)
+	if errors.Is(err, errDelta) {
+		d, err = a.callDocument(ctx, peer, Document{})
+	}
+	if err != nil {
 		return parsed{}, err
 	}
 	return a.parse(d), nil
 }
 
-func (a *Agent) handleDocument(context.Context, string, []byte) (any, error) {
-	return a.inForce.Load().document, nil
+func (a *Agent) callDocument(ctx context.Context, peer control.Peer, have Document) (Document, error) {
+	var p packedDocument
+	if err := a.cfg.Transport.Call(ctx, peer, kindDocument, documentRequest{Have: have.Version}, &p); err != nil {
+		return Document{}, err
+	}
+	return p.unpack(have)
+}
+
+func (a *Agent) handleDocument(_ context.Context, _ string, body []byte) (any, error) {
+	var req documentRequest
+	if err := control.Unmarshal(body, &req); err != nil {
+		return nil, err
+	}
+	return a.inForce.Load().pack(req.Have)
 }
 
 func (a *Agent) handleRevision(ctx context.Context, from string, body []byte) (any, error) {
@@ -126,7 +144,7 @@
 		a.refuse(v, p.err.Error(), source, now)
 		return
 	}
-	a.inForce.Store(&configuration{document: p.document, parsed: p.config})
+	a.inForce.Store(a.inForce.Load().successor(p))
 	a.hear(v)
 	a.loads = a.cfg.Loads(p.config)
 	a.buildView()
--- a/measure/fleetscale/changes.go
+++ b/measure/fleetscale/changes.go
@@ -75,13 +75,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &changer{fleet: f, revisions: cluster.Follow(ctx, f.Specs)}
-	var killed changer
-	killed.fleet, killed.revisions = c.fleet, c.revisions
+	before := &changer{fleet: f, revisions: c.revisions}
+	after := &changer{fleet: f, revisions: c.revisions}
 	for i := range changes {
 		var err error
 		switch i % (3 * faultEvery) {
+		case faultEvery / 2:
+			err = before.killWatchersBefore(ctx)
 		case faultEvery:
-			err = killed.killWatchers(ctx)
+			err = after.killWatchersAfter(ctx)
 		case 2 * faultEvery:
 			err = c.pauseOne(ctx, i)
 		case 3*faultEvery - 1:
@@ -96,20 +98,43 @@
 	median, longest := c.longest()
 	fmt.Printf("%d changes with faults on %d nodes: in force on all: median %v, longest %v; reports of a lower revision: %d\n",
 		changes, len(f.Nodes), median.Round(time.Millisecond), longest.Round(time.Millisecond), len(c.revisions.Backward()))
-	if len(killed.times) > 0 {
-		median, longest = killed.longest()
-		fmt.Printf("  with all watching nodes killed just after acceptance, %d times: median %v, longest %v\n",
-			len(killed.times), median.Round(time.Millisecond), longest.Round(time.Millisecond))
-	}
+	before.print("all watching nodes killed just before acceptance")
+	after.print("all watching nodes killed just after acceptance")
 	for _, line := range c.revisions.Backward() {
 		fmt.Println("  ", line)
 	}
 	return nil
 }
 
-// killWatchers makes a change, kills all watching nodes at its acceptance, and
-// starts them again.
-func (c *changer) killWatchers(ctx context.Context) error {
+// print reports the times of changes under one kind of fault.
+func (c *changer) print(fault string) {
+	if len(c.times) == 0 {
+		return
+	}
+	median, longest := c.longest()
+	fmt.Printf("  with %s, %d times: median %v, longest %v\n",
+		fault, len(c.times), median.Round(time.Millisecond), longest.Round(time.Millisecond))
+}
+
+// killWatchersBefore kills all watching nodes and makes a change before any
+// other node can have noticed.
+func (c *changer) killWatchersBefore(ctx context.Context) error {
+	watchers, err := c.fleet.Watchers(ctx)
+	if err != nil {
+		return err
+	}
+	for _, name := range watchers {
+		c.fleet.Kill(name)
+	}
+	if err := c.change(ctx, nil); err != nil {
+		return err
+	}
+	return c.restart(ctx, watchers)
+}
+
+// killWatchersAfter makes a change, kills all watching nodes at its acceptance,
+// and starts them again.
+func (c *changer) killWatchersAfter(ctx context.Context) error {
 	watchers, err := c.fleet.Watchers(ctx)
 	if err != nil {
 		return err
--- a/measure/fleetscale/cost.go
+++ b/measure/fleetscale/cost.go
@@ -123,8 +123,12 @@
 	return ticks, pages * int64(os.Getpagesize()) / 1024, err
 }
 
-// printSlopes prints the least-squares line of each cost over the fleet's size.
+// printSlopes prints the least-squares line of each cost over the fleet's size;
+// one size has none.
 func printSlopes(costs []cost) {
+	if len(costs) < 2 {
+		return
+	}
 	lines := []struct {
 		name  string
 		value func(cost) float64
