measure: detection at a crest by the work that a target still gets

Cause: the ejection event alone missed that a home gives a suspected target of a service without idempotent work nothing more, and never ejects it. Conclusion: the measure does not depend on what a variant calls its states.

--- a/measure/bench.go
+++ b/measure/bench.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -63,7 +64,7 @@
 	}
 	ctx, b.cancel = context.WithCancel(ctx)
 	var err error
-	if b.dir, err = os.MkdirTemp("", "measure-"); err != nil {
+	if b.dir, err = makeDir(o, b.scenario+"-"+variant); err != nil {
 		return b, err
 	}
 	addresses, err := b.startTargets()
@@ -99,7 +100,18 @@
 	for _, p := range append(b.callerProxies, b.peerProxies...) {
 		p.Close()
 	}
-	os.RemoveAll(b.dir)
+	if b.opts.logs == "" {
+		os.RemoveAll(b.dir)
+	}
+}
+
+// makeDir makes the directory for a bench's files.
+func makeDir(o options, name string) (string, error) {
+	if o.logs == "" {
+		return os.MkdirTemp("", "measure-")
+	}
+	dir := filepath.Join(o.logs, name)
+	return dir, os.MkdirAll(dir, 0o700)
 }
 
 // delayed starts a fault proxy with the same delay both ways.
--- a/measure/crest.go
+++ b/measure/crest.go
@@ -32,7 +32,7 @@
 	r.add(b, refusedP99, milliseconds(load.Quantile(refused, 99, latency)))
 	silent := load.Count(refused, func(s load.Sample) bool { return !s.Last().RetryAfter })
 	r.add(b, noRetryAfter, float64(silent))
-	r.add(b, falseEjections, b.countFalseEjections(nil))
+	b.addFalse(r, nil)
 	addMixedOrCut(b, r, samples)
 	return nil
 }
--- a/measure/figure.go
+++ b/measure/figure.go
@@ -50,6 +50,7 @@
 	detection       = measure{"detection_s", "s", atMost(2)}
 	detectionLow    = measure{"detection_requests", "requests", atMost(12)}
 	falseEjections  = measure{"false_ejections", "ejections", atMost(0)}
+	falseSuspicions = measure{"false_suspicions", "suspicions", nil}
 	shortWaitRatio  = measure{"short_wait_p99_ratio", "ratio", atMost(2)}
 	shortWaitAlone  = measure{"short_wait_alone_p99_ms", "ms", nil}
 	shortWaitMixed  = measure{"short_wait_mixed_p99_ms", "ms", nil}
--- a/measure/gray.go
+++ b/measure/gray.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"filbertmill.example/event"
 	"filbertmill.example/testbed/load"
 	"filbertmill.example/testbed/target"
 )
@@ -64,14 +63,11 @@
 	all := b.scenario
 	for _, c := range b.grayCases() {
 		b.scenario = all + "/" + c.name
-		took := length
-		if at := b.ejectedAt(b.grayName(c), onset); !at.IsZero() {
-			took = at.Sub(onset)
-		}
+		took := workStops(b.ledger.All(), b.grayName(c), b.peers(c), onset, length)
 		r.add(b, detection, took.Seconds())
 	}
 	b.scenario = all
-	r.add(b, falseEjections, b.countFalseEjections(b.grayCases()))
+	b.addFalse(r, b.grayCases())
 	return nil
 }
 
@@ -84,7 +80,7 @@
 	for _, c := range b.grayCases() {
 		b.scenario = all + "/" + c.name
 		name := b.grayName(c)
-		until := b.ejectedAt(name, onset)
+		until := b.outAt(name, onset)
 		n := 0
 		for _, run := range b.ledger.All() {
 			if run.Target == name && run.Start.After(onset) && (until.IsZero() || run.Start.Before(until)) {
@@ -94,21 +90,54 @@
 		r.add(b, detectionLow, float64(n))
 	}
 	b.scenario = all
-	r.add(b, falseEjections, b.countFalseEjections(b.grayCases()))
+	b.addFalse(r, b.grayCases())
 	return nil
 }
 
 func (b *bench) grayName(c grayCase) string { return b.targets[c.service.name][grayTarget].Name() }
 
-// countFalseEjections counts the ejections of targets that are not gray.
-func (b *bench) countFalseEjections(gray []grayCase) float64 {
-	n := 0
-	for _, d := range b.decisions(event.KindEjection) {
-		if !slices.ContainsFunc(gray, func(c grayCase) bool { return b.grayName(c) == d.Target }) {
-			n++
+// outShare is the share of its healthy peers' work below which a target counts
+// as out of normal service; a target five times slower gets a fifth by itself.
+const outShare = 0.1
+
+// outWindow is the time over which the shares are compared.
+const outWindow = time.Second
+
+// workStops returns how long after since the target's share of work fell below
+// outShare for outWindow, or limit if it did not.
+func workStops(runs []target.Run, name string, peers []string, since time.Time, limit time.Duration) time.Duration {
+	const step = 50 * time.Millisecond
+	for at := time.Duration(0); at+outWindow <= limit; at += step {
+		from := since.Add(at)
+		to := from.Add(outWindow)
+		own, others := 0, 0
+		for _, run := range runs {
+			if run.Start.Before(from) || !run.Start.Before(to) {
+				continue
+			}
+			switch {
+			case run.Target == name:
+				own++
+			case slices.Contains(peers, run.Target):
+				others++
+			}
+		}
+		if float64(own*len(peers)) <= outShare*float64(others) {
+			return at
+		}
+	}
+	return limit
+}
+
+// peers returns the names of the other targets of a case's service.
+func (b *bench) peers(c grayCase) []string {
+	var out []string
+	for _, t := range b.targets[c.service.name] {
+		if t.Name() != b.grayName(c) {
+			out = append(out, t.Name())
 		}
 	}
-	return float64(n)
+	return out
 }
 
 // measureManyGray turns three of four targets gray at once, so that the floor
@@ -144,7 +173,7 @@
 		after(ctx, 2*phase, func() { setAll(list, target.Behavior{}) })
 	}
 	samples := b.run(ctx, streams...)
-	r.add(b, falseEjections, b.countFalseEjections(nil))
+	b.addFalse(r, nil)
 	addAnswered(b, r, samples)
 	addMixedOrCut(b, r, samples)
 	return nil
--- a/measure/long.go
+++ b/measure/long.go
@@ -41,7 +41,7 @@
 	r.add(b, shortWaitMixed, milliseconds(waitMixed))
 	r.add(b, shortWaitRatio, float64(waitMixed)/float64(max(waitAlone, time.Microsecond)))
 	r.add(b, longWait, milliseconds(load.Quantile(load.Select(mixed, isLong), 99, wait)))
-	r.add(b, falseEjections, b.countFalseEjections(nil))
+	b.addFalse(r, nil)
 	addAnswered(b, r, mixed)
 	addMixedOrCut(b, r, append(alone, mixed...))
 	return nil
--- a/measure/main.go
+++ b/measure/main.go
@@ -54,6 +54,7 @@
 	Quick    bool   `help:"fewer nodes and shorter runs, at most 5 minutes for all"`
 	Nodes    int    `help:"number of nodes [default: 32, with --quick 12]"`
 	Record   string `help:"Markdown file to which the command and the table are added"`
+	Logs     string `help:"directory in which the nodes' settings and logs are kept"`
 	Fault    string `help:"fault put in on purpose: no_floor or retry_bookings"`
 }
 
@@ -64,6 +65,7 @@
 	nodes  int
 	binary string
 	fault  string
+	logs   string
 }
 
 // pick returns the first of two values in a quick run, else the second.
@@ -96,7 +98,7 @@
 		return 0, err
 	}
 	defer os.RemoveAll(dir)
-	o := options{seed: a.Seed, quick: a.Quick, nodes: a.Nodes, fault: a.Fault}
+	o := options{seed: a.Seed, quick: a.Quick, nodes: a.Nodes, fault: a.Fault, logs: a.Logs}
 	if o.nodes == 0 {
 		o.nodes = pick(o, quickNodes, fullNodes)
 	}
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -96,6 +96,32 @@
 	qt.Assert(t, goodput(svc, samples, 0, 2*time.Second), qt.Equals, 0.25)
 }
 
+func TestWorkStops(t *testing.T) {
+	since := time.Unix(100, 0)
+	var runs []target.Run
+	add := func(name string, every, until time.Duration) {
+		for at := time.Duration(0); at < until; at += every {
+			runs = append(runs, target.Run{Target: name, Start: since.Add(at)})
+		}
+	}
+	add("healthy", 10*time.Millisecond, 5*time.Second)
+	add("out", 10*time.Millisecond, 2*time.Second)
+	add("slow", 50*time.Millisecond, 5*time.Second)
+	tests := []struct {
+		target string
+		want   time.Duration
+	}{
+		{"out", 1900 * time.Millisecond}, // the last 10 runs are a tenth of a second's
+		{"slow", 5 * time.Second},        // slow and still in service
+	}
+	for _, tt := range tests {
+		t.Run(tt.target, func(t *testing.T) {
+			got := workStops(runs, tt.target, []string{"healthy"}, since, 5*time.Second)
+			qt.Assert(t, got, qt.Equals, tt.want)
+		})
+	}
+}
+
 func TestTable(t *testing.T) {
 	var lines, table bytes.Buffer
 	r := &report{out: &lines}
