measure: configuration, store calls and control bytes; advertised addresses

Cause: nodes told one another the address they listen on, so that requests between nodes went past the fault proxies once membership was wired in: the distance between nodes and the faults of the links had no effect. Change: settings peers_advertised and control_advertised, as behind address translation; measure sets the first. The scenario config changes the configuration of a fleet with a store while watching and other nodes die.

--- a/config/static/parse_test.go
+++ b/config/static/parse_test.go
@@ -110,3 +110,15 @@
 		})
 	}
 }
+
+func TestParseAdvertisedAddresses(t *testing.T) {
+	src := strings.Replace(valid, "[fleet]", "peers_advertised = 127.0.0.9:1\ncontrol_advertised = 127.0.0.9:2\n[fleet]", 1)
+	settings, problems := Parse("node.ini", []byte(src))
+	qt.Assert(t, problems, qt.HasLen, 0)
+	qt.Assert(t, settings.AdvertisedPeerAddress, qt.Equals, "127.0.0.9:1")
+	qt.Assert(t, settings.AdvertisedControlAddress, qt.Equals, "127.0.0.9:2")
+
+	_, problems = Parse("node.ini", []byte(strings.Replace(src, "127.0.0.9:1", "127.0.0.9:0", 1)))
+	qt.Assert(t, problems, qt.HasLen, 1)
+	qt.Assert(t, problems[0].Key, qt.Equals, "peers_advertised")
+}
--- a/config/static/sections.go
+++ b/config/static/sections.go
@@ -42,6 +42,8 @@
 		schema.ListenAddress("callers", func(s *Settings) *string { return &s.CallerAddress }).AsRequired(),
 		schema.OwnAddress("peers", func(s *Settings) *string { return &s.PeerAddress }).AsRequired(),
 		schema.OwnAddress("control", func(s *Settings) *string { return &s.ControlAddress }).AsRequired(),
+		schema.RemoteAddress("peers_advertised", func(s *Settings) *string { return &s.AdvertisedPeerAddress }),
+		schema.RemoteAddress("control_advertised", func(s *Settings) *string { return &s.AdvertisedControlAddress }),
 		schema.ListenAddress("admin", func(s *Settings) *string { return &s.AdminAddress }).WithDefault("127.0.0.1:0"),
 	},
 	"fleet": {
--- a/config/static/static.go
+++ b/config/static/static.go
@@ -17,6 +17,11 @@
 	PeerAddress string
 	// ControlAddress is the listen address for control messages. [listen] control.
 	ControlAddress string
+	// AdvertisedPeerAddress and AdvertisedControlAddress are where other nodes
+	// reach the two, where that differs, as behind address translation.
+	// [listen] peers_advertised, control_advertised. Default: the listen addresses.
+	AdvertisedPeerAddress    string
+	AdvertisedControlAddress string
 	// AdminAddress is the listen address for operators; on loopback unless
 	// set otherwise. [listen] admin. Default: 127.0.0.1:0.
 	AdminAddress string
--- a/measure/added.go
+++ b/measure/added.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"filbertmill.example/fleet/control"
 	"filbertmill.example/testbed/load"
 	"filbertmill.example/testbed/target"
 )
@@ -14,6 +15,8 @@
 	addedWork = 5 * time.Millisecond
 	// addedShare is the load, as a share of the capacity, at which no queue forms.
 	addedShare = 0.05
+	// idleSettle lets nodes come to rest before their costs are counted.
+	idleSettle = 3 * time.Second
 	// straightSlots is more than a straight stand-in ever needs.
 	straightSlots = 1000
 )
@@ -21,6 +24,7 @@
 // measureIdle measures what nodes cost that have no requests.
 func measureIdle(ctx context.Context, b *bench, r *report) error {
 	length := pick(b.opts, 3*time.Second, 30*time.Second)
+	time.Sleep(idleSettle)
 	before := make([]time.Duration, len(b.nodes))
 	for i, p := range b.nodes {
 		var err error
@@ -43,24 +47,22 @@
 		worstCPU = max(worstCPU, (cpu-before[i]).Seconds()/length.Seconds())
 		worstRSS = max(worstRSS, rss)
 	}
-	r.add(b, controlCPU, worstCPU)
-	r.add(b, nodeRSS, worstRSS)
-	if bytesAfter := b.controlBytes(); bytesAfter > 0 {
-		r.add(b, controlBytes, (bytesAfter-bytesBefore)/length.Seconds()/float64(len(b.nodes)))
-	}
+	r.add(b.label, controlCPU, worstCPU)
+	r.add(b.label, nodeRSS, worstRSS)
+	r.add(b.label, controlBytes, (b.controlBytes()-bytesBefore)/length.Seconds()/float64(len(b.nodes)))
 	return measureTool(ctx, b, r)
 }
 
-// controlBytes returns the bytes that all nodes have sent for control, or 0 if
-// they do not count them.
+// controlBytes returns the bytes that all nodes have sent and received for
+// control.
 func (b *bench) controlBytes() float64 {
 	total := 0.0
 	for _, p := range b.nodes {
 		var vars struct {
-			ControlBytesSent float64 `json:"control_bytes_sent"`
+			Control control.Counters `json:"control"`
 		}
 		if p.ask("/debug/vars", &vars) == nil {
-			total += vars.ControlBytesSent
+			total += float64(vars.Control.SentBytes + vars.Control.ReceivedBytes)
 		}
 	}
 	return total
@@ -80,7 +82,7 @@
 		Class: class, Phases: []load.Phase{{For: 3 * time.Second, Rate: rate}},
 	})
 	samples := load.Run(ctx, load.Fixed(b.opts.seed, bare.Address()), arrivals)
-	r.add(b, toolP99, milliseconds(load.Quantile(samples, 99, latency)))
+	r.add(b.label, toolP99, milliseconds(load.Quantile(samples, 99, latency)))
 	return nil
 }
 
@@ -119,8 +121,8 @@
 		added := func(q float64) float64 {
 			return milliseconds(load.Quantile(t, q, latency) - load.Quantile(d, q, latency))
 		}
-		r.add(b, addedP50, added(50))
-		r.add(b, addedP99, added(99))
+		r.add(b.label, addedP50, added(50))
+		r.add(b.label, addedP99, added(99))
 	}
 	b.scenario = all
 	addAnswered(b, r, through)
--- a/measure/bench.go
+++ b/measure/bench.go
@@ -6,7 +6,6 @@
 	"math"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,10 +33,9 @@
 // bench is one deployment in one variant: targets and fault proxies in this
 // process, nodes as processes of their own.
 type bench struct {
+	label
 	opts       options
 	deployment deployment
-	variant    string
-	scenario   string
 	dir        string
 
 	ledger  *target.Ledger
@@ -57,7 +55,8 @@
 // newBench starts a deployment. The caller must close it, also on an error.
 func newBench(ctx context.Context, o options, d deployment, variant, scenario string) (*bench, error) {
 	b := &bench{
-		opts: o, deployment: d, variant: variant, scenario: d.name + "/" + scenario,
+		label: label{scenario: d.name + "/" + scenario, variant: variant, seed: o.seed},
+		opts:  o, deployment: d,
 		ledger:        target.NewLedger(),
 		targets:       make(map[string][]*target.Target),
 		targetProxies: make(map[string]*faultproxy.Proxy),
@@ -164,23 +163,14 @@
 	if err != nil {
 		return err
 	}
-	seeds := slices.Clone(specs) // other nodes are reached through proxies
 	for i, s := range specs {
-		callers, err := delayed(s.Callers, clientDelay)
-		if err != nil {
+		if specs[i].AdvertisedPeers, err = b.proxyNode(s); err != nil {
 			return err
 		}
-		b.callerProxies = append(b.callerProxies, callers)
-		peers, err := delayed(s.Peers, zoneDelay)
-		if err != nil {
-			return err
-		}
-		b.peerProxies = append(b.peerProxies, peers)
-		seeds[i].Peers = peers.Address()
 	}
 	failed := make(chan error, len(specs))
 	for _, s := range specs {
-		n := &node{binary: b.opts.binary, dir: b.dir, spec: s, settings: s.Settings(seeds, nodeSettings(configFile))}
+		n := &node{binary: b.opts.binary, dir: b.dir, spec: s, settings: s.Settings(specs, nodeSettings(configFile))}
 		b.nodes = append(b.nodes, n)
 		go func() { failed <- n.start(ctx) }()
 	}
@@ -190,6 +180,22 @@
 	return err
 }
 
+// proxyNode puts fault proxies before a node's callers and peers and returns
+// the address of the latter.
+func (b *bench) proxyNode(s process.Spec) (string, error) {
+	callers, err := delayed(s.Callers, clientDelay)
+	if err != nil {
+		return "", err
+	}
+	b.callerProxies = append(b.callerProxies, callers)
+	peers, err := delayed(s.Peers, zoneDelay)
+	if err != nil {
+		return "", err
+	}
+	b.peerProxies = append(b.peerProxies, peers)
+	return peers.Address(), nil
+}
+
 // entries returns the balancer before all nodes.
 func (b *bench) entries(ctx context.Context) *load.Balancer {
 	list := make([]load.Entry, len(b.nodes))
--- a/measure/bookings.go
+++ b/measure/bookings.go
@@ -44,9 +44,9 @@
 	if err := <-failed; err != nil {
 		return err
 	}
-	r.add(b, bookingsSent, float64(len(samples)))
+	r.add(b.label, bookingsSent, float64(len(samples)))
 	unknown := load.Count(samples, func(s load.Sample) bool { return s.Last().Outcome == "unknown" || s.Last().Status == 0 })
-	r.add(b, bookingsUnknown, float64(unknown))
+	r.add(b.label, bookingsUnknown, float64(unknown))
 	b.addRuns(r, samples)
 	addAnswered(b, r, samples)
 	addMixedOrCut(b, r, samples)
@@ -115,9 +115,9 @@
 			untrue++
 		}
 	}
-	r.add(b, runsTwice, float64(twice))
-	r.add(b, runsTwiceFleet, float64(fleet))
-	r.add(b, falseNotRun, float64(untrue))
+	r.add(b.label, runsTwice, float64(twice))
+	r.add(b.label, runsTwiceFleet, float64(fleet))
+	r.add(b.label, falseNotRun, float64(untrue))
 }
 
 // repeated says that one sending of the caller was run more than once.
--- a/measure/crest.go
+++ b/measure/crest.go
@@ -26,12 +26,12 @@
 		load.Phase{For: length, Rate: calmShare * surgeFactor},
 	))
 	from, to := calmTime+settleTime, calmTime+length
-	r.add(b, crestGoodput, goodput(svc, samples, from, to))
+	r.add(b.label, crestGoodput, goodput(svc, samples, from, to))
 	crest := load.Select(samples, func(s load.Sample) bool { return s.At >= from && s.At < to })
 	refused := load.Select(crest, func(s load.Sample) bool { return s.Last().Result == load.ResultStatus })
-	r.add(b, refusedP99, milliseconds(load.Quantile(refused, 99, latency)))
+	r.add(b.label, refusedP99, milliseconds(load.Quantile(refused, 99, latency)))
 	silent := load.Count(refused, func(s load.Sample) bool { return !s.Last().RetryAfter })
-	r.add(b, noRetryAfter, float64(silent))
+	r.add(b.label, noRetryAfter, float64(silent))
 	b.addFalse(r, nil)
 	addMixedOrCut(b, r, samples)
 	return nil
--- a/measure/decision.go
+++ b/measure/decision.go
@@ -75,7 +75,7 @@
 
 // addFalse reports decisions against targets that are not gray.
 func (b *bench) addFalse(r *report, gray []grayCase) {
-	r.add(b, falseEjections, b.count(b.decisions(event.KindEjection), gray))
+	r.add(b.label, falseEjections, b.count(b.decisions(event.KindEjection), gray))
 	suspicions := slices.DeleteFunc(b.decisions(event.KindTargetState), func(d decision) bool { return !d.out() })
-	r.add(b, falseSuspicions, b.count(suspicions, gray))
+	r.add(b.label, falseSuspicions, b.count(suspicions, gray))
 }
--- a/measure/drain.go
+++ b/measure/drain.go
@@ -54,9 +54,9 @@
 			cut++
 		}
 	}
-	r.add(b, cutOnDrain, float64(cut))
-	r.add(b, refusedOnDrain, float64(refused))
-	r.add(b, lateWork, float64(b.countLateWork()))
+	r.add(b.label, cutOnDrain, float64(cut))
+	r.add(b.label, refusedOnDrain, float64(refused))
+	r.add(b.label, lateWork, float64(b.countLateWork()))
 	addAnswered(b, r, samples)
 	addMixedOrCut(b, r, samples)
 	return nil
--- a/measure/figure.go
+++ b/measure/figure.go
@@ -67,6 +67,9 @@
 	lateWork        = measure{"late_work_on_leaving_target", "requests", atMost(0)}
 	floorViolations = measure{"floor_violations", "snapshots", atMost(0)}
 	nodeRSS         = measure{"node_rss_mb", "MB", atMost(128)}
+	configInForce   = measure{"config_in_force_s", "s", atMost(5)}
+	revisionsBack   = measure{"revision_regressions", "reports", atMost(0)}
+	storeCalls      = measure{"store_calls_s", "calls/s", nil}
 	controlBytes    = measure{"control_bytes_per_node_s", "B/s", atMost(16 << 10)}
 	controlCPU      = measure{"control_cpu_ratio", "cores", atMost(0.036)}
 )
@@ -83,6 +86,13 @@
 	}
 }
 
+// label says what a figure belongs to.
+type label struct {
+	scenario string
+	variant  string
+	seed     uint64
+}
+
 // report collects the figures of a run.
 type report struct {
 	out     io.Writer
@@ -90,11 +100,11 @@
 }
 
 // add records one figure and writes its line.
-func (r *report) add(b *bench, m measure, value float64) {
+func (r *report) add(l label, m measure, value float64) {
 	f := Figure{
-		Scenario: b.scenario,
-		Seed:     b.opts.seed,
-		Variant:  b.variant,
+		Scenario: l.scenario,
+		Seed:     l.seed,
+		Variant:  l.variant,
 		Measure:  m.name,
 		Value:    value,
 		Unit:     m.unit,
--- a/measure/gray.go
+++ b/measure/gray.go
@@ -64,7 +64,7 @@
 	for _, c := range b.grayCases() {
 		b.scenario = all + "/" + c.name
 		took := workStops(b.ledger.All(), b.grayName(c), b.peers(c), onset, length)
-		r.add(b, detection, took.Seconds())
+		r.add(b.label, detection, took.Seconds())
 	}
 	b.scenario = all
 	b.addFalse(r, b.grayCases())
@@ -87,7 +87,7 @@
 				n++
 			}
 		}
-		r.add(b, detectionLow, float64(n))
+		r.add(b.label, detectionLow, float64(n))
 	}
 	b.scenario = all
 	b.addFalse(r, b.grayCases())
--- a/measure/main.go
+++ b/measure/main.go
@@ -145,6 +145,12 @@
 
 func runOne(ctx context.Context, o options, d deployment, s scenario, variant string, r *report) error {
 	fmt.Fprintf(os.Stderr, "%s %s/%s %s\n", time.Now().Format(time.TimeOnly), d.name, s.name, variant)
+	if s.fleet != nil {
+		if variant != variantHome {
+			return nil
+		}
+		return s.fleet(ctx, o, d, label{scenario: d.name + "/" + s.name, variant: variant, seed: o.seed}, r)
+	}
 	b, err := newBench(ctx, o, d, variant, s.name)
 	defer b.close()
 	if err != nil {
@@ -153,6 +159,6 @@
 	if err := s.run(ctx, b, r); err != nil {
 		return err
 	}
-	r.add(b, floorViolations, float64(b.floorViolations()))
+	r.add(b.label, floorViolations, float64(b.floorViolations()))
 	return ctx.Err()
 }
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -126,7 +126,7 @@
 	var lines, table bytes.Buffer
 	r := &report{out: &lines}
 	for _, variant := range []string{variantDirect, variantHome} {
-		r.add(&bench{scenario: "s", variant: variant}, detection, 2.5)
+		r.add(label{scenario: "s", variant: variant}, detection, 2.5)
 	}
 	writeTable(&table, r.figures)
 	qt.Assert(t, strings.Count(lines.String(), "\n"), qt.Equals, 2)
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -14,22 +14,26 @@
 	// once limits the scenario to the first deployment in a quick run.
 	once bool
 	run  func(ctx context.Context, b *bench, r *report) error
+	// fleet takes the place of run where nodes run without callers; it is
+	// measured in the home variant only.
+	fleet func(ctx context.Context, o options, d deployment, l label, r *report) error
 }
 
 // scenarios returns all scenarios in the order in which they run.
 func scenarios() []scenario {
 	return []scenario{
-		{"idle", true, measureIdle},
-		{"added", false, measureAdded},
-		{"crest", false, measureCrest},
-		{"gray_crest", true, measureGrayCrest},
-		{"gray_low", true, measureGrayLow},
-		{"many_gray", true, measureManyGray},
-		{"healthy", true, measureHealthy},
-		{"long", true, measureLong},
-		{"odd_answers", true, measureOddAnswers},
-		{"drain", true, measureDrain},
-		{"bookings", true, measureBookings},
+		{name: "idle", once: true, run: measureIdle},
+		{name: "config", once: true, fleet: measureConfig},
+		{name: "added", run: measureAdded},
+		{name: "crest", run: measureCrest},
+		{name: "gray_crest", once: true, run: measureGrayCrest},
+		{name: "gray_low", once: true, run: measureGrayLow},
+		{name: "many_gray", once: true, run: measureManyGray},
+		{name: "healthy", once: true, run: measureHealthy},
+		{name: "long", once: true, run: measureLong},
+		{name: "odd_answers", once: true, run: measureOddAnswers},
+		{name: "drain", once: true, run: measureDrain},
+		{name: "bookings", once: true, run: measureBookings},
 	}
 }
 
@@ -58,12 +62,12 @@
 			}
 		}
 	}
-	r.add(b, mixedOrCut, float64(n))
+	r.add(b.label, mixedOrCut, float64(n))
 }
 
 // addAnswered reports the share of requests answered whole and in time.
 func addAnswered(b *bench, r *report, samples []load.Sample) {
-	r.add(b, answeredRatio, ratio(load.Count(samples, load.Sample.Good), len(samples)))
+	r.add(b.label, answeredRatio, ratio(load.Count(samples, load.Sample.Good), len(samples)))
 }
 
 // after runs something when a time has passed, unless the context ends.
--- a/node/membership.go
+++ b/node/membership.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -40,7 +41,8 @@
 	cfg := fleet.Config{
 		Self: control.Peer{
 			Name: s.Name, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
-			PeerAddress: s.PeerAddress, ControlAddress: m.listener.Addr().String(),
+			PeerAddress:    cmp.Or(s.AdvertisedPeerAddress, s.PeerAddress),
+			ControlAddress: cmp.Or(s.AdvertisedControlAddress, m.listener.Addr().String()),
 		},
 		Seeds:     seedPeers(s),
 		Transport: t,
--- a/testbed/process/process.go
+++ b/testbed/process/process.go
@@ -3,6 +3,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -42,6 +43,9 @@
 	AvailabilityZone string
 	// Callers, Peers, Control and Admin are its listen addresses.
 	Callers, Peers, Control, Admin string
+	// AdvertisedPeers and AdvertisedControl are where other nodes reach Peers
+	// and Control, if elsewhere, as through a fault proxy.
+	AdvertisedPeers, AdvertisedControl string
 }
 
 // NewSpecs returns n nodes on free loopback addresses, spread over the
@@ -67,7 +71,8 @@
 func (s Spec) Settings(seeds []Spec, extra string) string {
 	list := make([]string, len(seeds))
 	for i, p := range seeds {
-		list[i] = strings.Join([]string{p.Name, p.AvailabilityZone, p.Peers, p.Control}, "@")
+		peers, control := cmp.Or(p.AdvertisedPeers, p.Peers), cmp.Or(p.AdvertisedControl, p.Control)
+		list[i] = strings.Join([]string{p.Name, p.AvailabilityZone, peers, control}, "@")
 	}
 	return fmt.Sprintf(`[node]
 name = %s
@@ -79,12 +84,24 @@
 peers = %s
 control = %s
 admin = %s
-
+%s
 [fleet]
 shared_key = integration-test-key
 seeds = %s
 
-%s`, s.Name, s.AvailabilityZone, s.Callers, s.Peers, s.Control, s.Admin, strings.Join(list, ", "), extra)
+%s`, s.Name, s.AvailabilityZone, s.Callers, s.Peers, s.Control, s.Admin, s.advertised(), strings.Join(list, ", "), extra)
+}
+
+// advertised returns the settings of the addresses that are reached elsewhere.
+func (s Spec) advertised() string {
+	var b strings.Builder
+	if s.AdvertisedPeers != "" {
+		fmt.Fprintf(&b, "peers_advertised = %s\n", s.AdvertisedPeers)
+	}
+	if s.AdvertisedControl != "" {
+		fmt.Fprintf(&b, "control_advertised = %s\n", s.AdvertisedControl)
+	}
+	return b.String()
 }
 
 // Node is a running process.
