measure: targets turn gray one after the other where the floor is measured

Cause: three of four targets that turned gray together were a common cause to the home, which ejected none: with the floor off the measure stayed green. Change: they turn gray 1.5 s apart. Routes time out a little before their callers leave, so that callers hear what became of their requests.

--- a/measure/added.go
+++ b/measure/added.go
@@ -122,6 +122,7 @@
 			return milliseconds(load.Quantile(t, q, latency) - load.Quantile(d, q, latency))
 		}
 		r.add(b.label, addedP50, added(50))
+		r.add(b.label, addedP90, added(90))
 		r.add(b.label, addedP99, added(99))
 	}
 	b.scenario = all
--- a/measure/figure.go
+++ b/measure/figure.go
@@ -44,6 +44,7 @@
 	toolP99         = measure{"tool_p99_ms", "ms", nil}
 	addedP99        = measure{"added_p99_ms", "ms", atMost(7.6)}
 	addedP50        = measure{"added_p50_ms", "ms", nil}
+	addedP90        = measure{"added_p90_ms", "ms", nil}
 	crestGoodput    = measure{"crest_goodput_ratio", "ratio", atLeast(0.95)}
 	refusedP99      = measure{"refused_p99_ms", "ms", nil}
 	noRetryAfter    = measure{"refused_without_retry_after", "requests", atMost(0)}
@@ -65,6 +66,7 @@
 	cutOnDrain      = measure{"requests_cut_on_drain", "requests", atMost(0)}
 	refusedOnDrain  = measure{"requests_refused_on_drain", "requests", nil}
 	lateWork        = measure{"late_work_on_leaving_target", "requests", atMost(0)}
+	floorHeld       = measure{"floor_held", "ejections withheld", nil}
 	floorViolations = measure{"floor_violations", "snapshots", atMost(0)}
 	nodeRSS         = measure{"node_rss_mb", "MB", atMost(128)}
 	configInForce   = measure{"config_in_force_s", "s", atMost(5)}
--- a/measure/files.go
+++ b/measure/files.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 )
 
 // address is where a target is reached.
@@ -30,7 +31,7 @@
 	for _, svc := range b.deployment.services() {
 		fmt.Fprintf(&s, "[service %s]\nslots = %d\nlong_share = %g\n", svc.name, svc.slots, svc.longShare)
 		fmt.Fprintf(&s, "[route %s]\nprefix = /%s\nservice = %s\ntimeout = %s\nidempotency = %s\n",
-			svc.name, svc.name, svc.name, svc.class.Patience, b.idempotency(svc))
+			svc.name, svc.name, svc.name, routeTimeout(svc), b.idempotency(svc))
 	}
 	long := b.deployment.batch.name
 	fmt.Fprintf(&s, "[route %s-long]\nprefix = /%s/long\nservice = %s\ntimeout = 60s\n", long, long, long)
@@ -41,6 +42,10 @@
 	return file, os.WriteFile(file, []byte(s.String()), 0o600)
 }
 
+// routeTimeout is a little shorter than the callers' patience, so that they
+// still hear what became of their requests.
+func routeTimeout(svc service) time.Duration { return svc.class.Patience * 19 / 20 }
+
 func (b *bench) idempotency(svc service) string {
 	switch {
 	case svc.name != b.deployment.booking.name:
--- a/measure/gray.go
+++ b/measure/gray.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"filbertmill.example/event"
 	"filbertmill.example/testbed/load"
 	"filbertmill.example/testbed/target"
 )
@@ -140,16 +141,22 @@
 	return out
 }
 
-// measureManyGray turns three of four targets gray at once, so that the floor
-// binds.
+// manyGrayInterval separates the targets that turn gray one after the other, so
+// that each stands out from its peers while the floor is reached.
+const manyGrayInterval = 1500 * time.Millisecond
+
+// measureManyGray turns three of four targets gray one after the other, so that
+// the floor binds.
 func measureManyGray(ctx context.Context, b *bench, r *report) error {
-	length := pick(b.opts, 6*time.Second, 20*time.Second)
 	svc := b.deployment.lookup
 	list := b.targets[svc.name]
-	after(ctx, grayOnset, func() {
-		setAll(list[:len(list)*3/4], target.Behavior{FailShare: 0.9})
-	})
-	samples := b.run(ctx, svc.stream(load.Phase{For: grayOnset + length, Rate: calmShare}))
+	gray := list[:len(list)*3/4]
+	for i, t := range gray {
+		after(ctx, grayOnset+time.Duration(i)*manyGrayInterval, func() { t.Set(target.Behavior{FailShare: 0.9}) })
+	}
+	length := grayOnset + time.Duration(len(gray))*manyGrayInterval + pick(b.opts, time.Second, 20*time.Second)
+	samples := b.run(ctx, svc.stream(load.Phase{For: length, Rate: calmShare}))
+	r.add(b.label, floorHeld, float64(len(b.decisions(event.KindFloorHeld))))
 	addAnswered(b, r, samples)
 	addMixedOrCut(b, r, samples)
 	return nil
