pool: hung attempts judged by how often healthy ones take that long

Change: a category for hung attempts with a learned frequency; the latest samples of peers count without a prior when a target must stand out.

--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -15,8 +15,10 @@
 	runPriorWeight = 20
 	// runPeersMin is the least number of peers' samples within a run.
 	runPeersMin = 16
-	// recent is the time over which peers' latest work counts in any case.
+	// recent is the time over which the latest samples of each peer count in
+	// any case, and latest their number.
 	recent = 5 * time.Second
+	latest = 4
 	// slowRatioMin is how many times slower than its peers in the same window
 	// a target must be to be found slow.
 	slowRatioMin = 2
@@ -35,8 +37,12 @@
 	busyRate        = 4
 	// quietRate is the requests a second up to which scores need no caution.
 	quietRate = 2
-	// lostWeight is the weight of a hung or unreachable attempt as a failure.
+	// lostWeight is the weight of an unreachable attempt as a failure, and of a
+	// hung one on a route whose share of hung ones is at most hungRare.
 	lostWeight = 2
+	hungRare   = 0.002
+	// answeredMin is the least share of answers that is reckoned with.
+	answeredMin = 0.01
 	// peersTrimmed is the share of the worst peers left out of a comparison.
 	peersTrimmed = 0.25
 	// trimSamples is the least number of samples of each peer for that.
@@ -47,13 +53,13 @@
 type frequencies [numCategories]float64
 
 // assumed are the frequencies before anything was seen.
-var assumed = frequencies{0, 0, 0.45, 0.25, 0.15, 0.10, 0.04, 0.01}
+var assumed = frequencies{0, 0, 0.45, 0.25, 0.15, 0.10, 0.04, 0.005, 0.01}
 
 // least bounds the frequencies of a healthy target from below.
-var least = frequencies{0, 0.05, 0.05, 0.05, 0.05, 0.02, 0.006, 0.001}
+var least = frequencies{0, 0.05, 0.05, 0.05, 0.05, 0.02, 0.006, 0.001, 0.001}
 
 // slowed are the frequencies of a target that is several times slower.
-var slowed = frequencies{0, 0, 0.13, 0.145, 0.176, 0.25, 0.299, 0}
+var slowed = frequencies{0, 0, 0.13, 0.145, 0.176, 0.25, 0.299, 0, 0}
 
 // finding is the result of comparing a target with its peers.
 type finding struct {
@@ -83,15 +89,15 @@
 
 // failingRatio compares a target that fails a share of its work with a healthy one.
 func failingRatio(c category, q frequencies, share float64) float64 {
-	if c == categoryFailed {
-		return math.Log(share / q[categoryFailed])
+	if c >= categoryHung {
+		return math.Log(share / q[c])
 	}
-	return math.Log((1 - share) / (1 - q[categoryFailed]))
+	return math.Log((1 - share) / max(answeredMin, 1-q[categoryFailed]-q[categoryHung]))
 }
 
 // slowRatio compares a target that is several times slower with a healthy one.
 func slowRatio(c category, q frequencies, _ float64) float64 {
-	if c == categoryFailed || c == categoryAnswered {
+	if c >= categoryHung || c == categoryAnswered {
 		return 0
 	}
 	return latencyDiscount * math.Log(slowed[c]/q[c])
@@ -129,12 +135,12 @@
 	f := finding{alone: alone, samples: len(run), rule: ruleOf(run, alt)}
 	f.failures = failures(run)
 	f.latency, f.peer = latencies(run)
-	f.thin = alt.failing && failureWeight(run) < t.failuresNeeded(now)
+	f.thin = alt.failing && failureWeight(run, usual) < t.failuresNeeded(now)
 	within, peers := h.usualWithin(now, t, run, usual)
 	if peers < runPeersMin {
 		return f
 	}
-	f.peersAlike = !h.standsOut(t, run, within, alt)
+	f.peersAlike = !h.standsOut(now, t, run, within, alt)
 	if !f.peersAlike {
 		f.score = max(0, score(run, within, alt))
 	}
@@ -161,17 +167,38 @@
 // standsOut says whether the run is several times worse than what peers showed
 // in the same window; likelihoods alone call small differences certain once
 // there are many samples.
-func (h *home) standsOut(t *target, run []sample, within map[*route]frequencies, alt alternative) bool {
+func (h *home) standsOut(now time.Time, t *target, run []sample, within map[*route]frequencies, alt alternative) bool {
 	if !alt.failing {
 		return medianRatio(run) >= slowRatioMin*h.peersRatio(t, run)
 	}
 	expected := 0.0
 	for _, s := range run {
-		expected += within[s.route][categoryFailed]
+		expected += within[s.route][categoryFailed] + within[s.route][categoryHung]
 	}
+	expected = max(expected, h.peersFailing(now, t)*float64(len(run)))
 	return float64(failures(run)) >= failedRatioMin*expected
 }
 
+// peersFailing returns the share of failures among the latest samples of t's peers.
+func (h *home) peersFailing(now time.Time, t *target) float64 {
+	failed, total := 0, 0
+	for _, peer := range h.order {
+		if peer == t {
+			continue
+		}
+		window := peer.latestSamples(now)
+		failed += failures(window)
+		total += len(window)
+	}
+	return float64(failed) / float64(max(1, total))
+}
+
+// latestSamples returns the few latest samples of t that are recent.
+func (t *target) latestSamples(now time.Time) []sample {
+	window := t.samplesSince(now.Add(-recent))
+	return window[max(0, len(window)-latest):]
+}
+
 // bestRun returns the latest samples with the highest score.
 func bestRun(samples []sample, usual map[*route]frequencies, alt alternative) ([]sample, float64) {
 	best, bestScore, sum := len(samples), 0.0, 0.0
@@ -199,7 +226,7 @@
 func failures(run []sample) int {
 	n := 0
 	for _, s := range run {
-		if s.category == categoryFailed {
+		if s.failed() {
 			n++
 		}
 	}
@@ -207,12 +234,13 @@
 }
 
 // failureWeight returns the failures with lost attempts counting for more.
-func failureWeight(run []sample) int {
+func failureWeight(run []sample, usual map[*route]frequencies) int {
 	n := 0
 	for _, s := range run {
 		switch {
-		case s.category != categoryFailed:
-		case s.hung || s.verdict == VerdictUnreachable || s.verdict == VerdictTimeout:
+		case !s.failed():
+		case s.verdict == VerdictUnreachable,
+			s.category == categoryHung && usual[s.route][categoryHung] <= hungRare:
 			n += lostWeight
 		default:
 			n++
@@ -278,7 +306,7 @@
 // showed lately where these are worse.
 func (h *home) usualLately(now time.Time, t *target, r *route) frequencies {
 	q := h.usual(now, r, t)
-	sum, total := h.peersSince(t, r, now.Add(-recent))
+	sum, total := h.countPeers(t, r, func(peer *target) []sample { return peer.latestSamples(now) })
 	return worse(q, blend(sum, total, q, runPriorWeight))
 }
 
@@ -289,7 +317,7 @@
 	since := began(run)
 	seen := 0
 	for r, q := range usual {
-		sum, total := h.peersSince(t, r, since)
+		sum, total := h.countPeers(t, r, func(peer *target) []sample { return peer.samplesSince(since) })
 		seen += int(total)
 		lately := worse(q, h.usualLately(now, t, r))
 		within[r] = worse(lately, blend(sum, total, q, runPriorWeight))
@@ -322,7 +350,7 @@
 func medianRatio(samples []sample) float64 {
 	var ratios []float64
 	for _, s := range samples {
-		if s.category != categoryFailed && s.route.known() {
+		if !s.failed() && s.route.known() {
 			ratios = append(ratios, s.ratio())
 		}
 	}
@@ -346,13 +374,13 @@
 	return medianRatio(window)
 }
 
-// peersSince counts the samples of t's peers on r since the given time,
-// without the worst peers where each has shown enough.
-func (h *home) peersSince(t *target, r *route, since time.Time) (frequencies, float64) {
+// countPeers counts the samples on r in the windows of t's peers, without the
+// worst peers where each has shown enough.
+func (h *home) countPeers(t *target, r *route, window func(peer *target) []sample) (frequencies, float64) {
 	var peers []peerCount
 	trim := true
 	for _, peer := range h.order {
-		p := countSamples(peer.samplesSince(since), r)
+		p := countSamples(window(peer), r)
 		if peer == t || p.total == 0 {
 			continue
 		}
--- a/pool/home.go
+++ b/pool/home.go
@@ -178,7 +178,7 @@
 // warm takes an answer of a cold target; one that answers like its peers on
 // all its slots is warm.
 func (h *home) warm(now time.Time, t *target, s sample) {
-	if s.category == categoryNone || s.category == categoryFailed {
+	if s.category == categoryNone || s.failed() {
 		return
 	}
 	t.good++
--- a/pool/internal/drive/run.go
+++ b/pool/internal/drive/run.go
@@ -139,15 +139,21 @@
 // clock returns the virtual time as schedulers see it.
 func (r *run) clock() time.Time { return epoch.Add(r.now) }
 
-// active returns the condition of the given kind that the target is in.
+// active returns the condition of the given kind that the target is in; one of
+// its own goes before one of all targets.
 func (r *run) active(name string, kind Kind) (Condition, bool) {
+	var found Condition
+	ok := false
 	for _, c := range r.trace.Conditions {
 		hit := c.Kind == kind && (c.Target == name || c.Target == "*")
-		if hit && r.now >= time.Duration(c.From) && (c.To == 0 || r.now < time.Duration(c.To)) {
-			return c, true
+		if !hit || r.now < time.Duration(c.From) || (c.To != 0 && r.now >= time.Duration(c.To)) {
+			continue
+		}
+		if !ok || c.Target == name {
+			found, ok = c, true
 		}
 	}
-	return Condition{}, false
+	return found, ok
 }
 
 // happens says whether a condition with a share hits the next request.
--- a/pool/judge.go
+++ b/pool/judge.go
@@ -28,7 +28,11 @@
 	}
 	t.addSample(s)
 	if !s.hung && (t.healthy() || t.state == StateCold) {
-		s.route.tallyOf(t).add(now, s.category)
+		tally := s.route.tallyOf(t)
+		tally.add(now, s.category)
+		if s.category == categoryExtreme && s.latency >= s.route.hungAge() {
+			tally.counts[categoryHung]++
+		}
 	}
 	if s.bad() || t.state == StateSuspected {
 		t.dirty = true
--- a/pool/measure_test.go
+++ b/pool/measure_test.go
@@ -19,9 +19,12 @@
 	workers = 4
 )
 
-// service is an association-sized service: 8 targets with 2 slots.
-func service(name string) drive.Trace {
-	return drive.Trace{Name: name, Targets: 8, Slots: 2, FloorSlots: 8}
+// service is a service of 8 targets with 2 slots.
+func service(name string) drive.Trace { return sized(name, 8, 2) }
+
+// sized is a service with a floor of half its slots.
+func sized(name string, targets, slots int) drive.Trace {
+	return drive.Trace{Name: name, Targets: targets, Slots: slots, FloorSlots: targets * slots / 2}
 }
 
 func status(rate float64, from, to time.Duration) drive.Load {
@@ -100,26 +103,36 @@
 		d.doubted, d.after.Round(msecond), d.own, d.missed, seeds, d.falses)
 }
 
+// detectionLoad is a service with its load, and the bounds on detection.
+type detectionLoad struct {
+	name           string
+	targets, slots int
+	rate           float64
+	begin, span    time.Duration
+	after          time.Duration
+	own            int
+}
+
 // detect measures how the fault of t03 is found at the given rate.
-func detect(f drive.Condition, rate float64, begin, span time.Duration, opts func(uint64) drive.Options) detection {
+func detect(f drive.Condition, load detectionLoad, opts func(uint64) drive.Options) detection {
 	var d detection
 	var afters []time.Duration
 	var owns, doubted []int
-	f.From = drive.Duration(begin)
+	f.From = drive.Duration(load.begin)
 	build := func(seed uint64) drive.Trace {
-		tr := service("detection")
+		tr := sized("detection", load.targets, load.slots)
 		tr.Conditions = []drive.Condition{f, noise()}
-		tr.Arrivals = drive.Generate(seed, status(rate/2, 0, span), lookup(rate/2, 0, span))
+		tr.Arrivals = drive.Generate(seed, status(load.rate/2, 0, load.span), lookup(load.rate/2, 0, load.span))
 		return tr
 	}
 	for _, rep := range overSeeds(build, opts) {
-		after, own, ok := rep.Out("t03", begin)
+		after, own, ok := rep.Out("t03", load.begin)
 		if !ok {
 			d.missed++
 			after, own = time.Hour, never
 		}
 		afters, owns = append(afters, after), append(owns, own)
-		_, first, ok := rep.Suspected("t03", begin)
+		_, first, ok := rep.Suspected("t03", load.begin)
 		if !ok {
 			first = never
 		}
@@ -147,22 +160,16 @@
 		{fault(drive.KindRefusing, 0), false},
 		{fault(drive.KindLink, 0), false},
 	}
-	loads := []struct {
-		name  string
-		rate  float64
-		begin time.Duration
-		span  time.Duration
-		after time.Duration
-		own   int
-	}{
-		{"low load", 8, faultAt, time.Minute, time.Hour, 12},
-		{"crest", 350, 8 * time.Second, 12 * time.Second, 2 * time.Second, never},
+	loads := []detectionLoad{
+		{"low load", 8, 2, 8, faultAt, time.Minute, time.Hour, 12},
+		{"crest", 8, 2, 350, 8 * time.Second, 12 * time.Second, 2 * time.Second, never},
+		{"large, busy", 9, 6, 500, 8 * time.Second, 12 * time.Second, 2 * time.Second, never},
 	}
 	for _, load := range loads {
 		for _, f := range faults {
 			for _, v := range variants {
-				d := detect(f.condition, load.rate, load.begin, load.span, v.opts)
-				t.Logf("%-8s %-10s %.1f %-6s %v", load.name, f.condition.Kind, f.condition.Value, v.name, d)
+				d := detect(f.condition, load, v.opts)
+				t.Logf("%-11s %-10s %.1f %-6s %v", load.name, f.condition.Kind, f.condition.Value, v.name, d)
 				if v.name != "home" {
 					continue
 				}
--- a/pool/return.go
+++ b/pool/return.go
@@ -155,7 +155,7 @@
 		})
 		return
 	}
-	if s.category == categoryFailed {
+	if s.failed() {
 		return
 	}
 	p.good++
@@ -225,7 +225,7 @@
 	kept := t.samples[:0:0]
 	dropped := 0
 	for _, s := range t.samples {
-		if s.category == categoryFailed && !s.at.Before(since) {
+		if s.failed() && !s.at.Before(since) {
 			dropped++
 			continue
 		}
--- a/pool/rules.go
+++ b/pool/rules.go
@@ -65,8 +65,8 @@
 	var hung, refused, cut, failed int
 	for _, s := range run {
 		switch {
-		case s.category != categoryFailed:
-		case s.hung || s.verdict == VerdictTimeout:
+		case !s.failed():
+		case s.category == categoryHung:
 			hung++
 		case s.verdict == VerdictUnreachable:
 			refused++
--- a/pool/sample.go
+++ b/pool/sample.go
@@ -21,6 +21,8 @@
 	categoryTail
 	// categoryExtreme lies above extremeFactor times the quantile 0.95.
 	categoryExtreme
+	// categoryHung is still unanswered after hungFactor times the quantile 0.95.
+	categoryHung
 	// categoryFailed has no whole answer, or one that says the server erred.
 	categoryFailed
 	numCategories
@@ -60,6 +62,9 @@
 	return float64(s.latency) / float64(max(1, s.route.median))
 }
 
+// failed says that the sample counts as a failure.
+func (s sample) failed() bool { return s.category >= categoryHung }
+
 // bad says that the sample speaks against the target.
 func (s sample) bad() bool { return s.category >= categoryTail }
 
@@ -121,14 +126,17 @@
 	}
 }
 
+// hungAge returns the age at which an unanswered attempt counts as hung.
+func (r *route) hungAge() time.Duration { return max(hungFactor*r.tail, hungMin) }
+
 // classifyUnanswered returns the category of an attempt that has no answer
 // after the given time; nothing below the usual says anything.
 func (r *route) classifyUnanswered(age time.Duration) category {
 	switch {
 	case !r.known() || age <= extremeFactor*r.tail:
 		return categoryNone
-	case age >= max(hungFactor*r.tail, hungMin):
-		return categoryFailed
+	case age >= r.hungAge():
+		return categoryHung
 	default:
 		return categoryExtreme
 	}
