once: a key is claimed only for a request that has a place

Change: Home asks for a place first and claims then; a home knows the claims that it gave up, and withdraws them; a home that leaves hands those who wait to the next one; a body that differs from a claim of unknown end is unknown, not reused; the time of a lost copy counts from the request's arrival. /claims shows a node's part.

--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -9,7 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"filbertmill.example/filbertmill/internal/cluster"
 	"filbertmill.example/fleet/publish"
+	"filbertmill.example/node"
 	"filbertmill.example/once"
 	"filbertmill.example/outcome"
 	"filbertmill.example/platform/memory"
@@ -97,6 +99,19 @@
 	return 0
 }
 
+// witnessedEnds returns how many ended bookings the nodes hold as witnesses.
+func (f *bookingFleet) witnessedEnds(c *qt.C) int {
+	n := 0
+	for _, spec := range f.specs {
+		var list []node.ClaimsStatus
+		c.Assert(cluster.GetJSON(c.Context(), spec.Admin, node.ClaimsPath, &list), qt.IsNil)
+		for _, s := range list {
+			n += s.WitnessedEnds
+		}
+	}
+	return n
+}
+
 func TestRepeatThroughAnyNodeIsReplayed(t *testing.T) {
 	c := qt.New(t)
 	f := startBookings(c, 4)
@@ -124,6 +139,7 @@
 	f := startBookings(c, 4)
 	c.Assert(f.book(0, "van-1").kind, qt.Equals, outcome.Run)
 	home := f.holder(c)
+	c.Assert(eventually(func() bool { return f.witnessedEnds(c) == 2 }), qt.IsTrue)
 	f.nodes[home].Kill()
 	again := f.book((home+1)%4, "van-1")
 	c.Check(again.kind, qt.Equals, outcome.Run, qt.Commentf("%s", again.body))
--- a/node/admin.go
+++ b/node/admin.go
@@ -30,6 +30,7 @@
 	e.GET("/revision", n.handleRevision)
 	n.reportRoutes(e)
 	n.poisonRoutes(e)
+	e.GET(ClaimsPath, n.handleClaims)
 	e.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 }
 
--- a/node/forward.go
+++ b/node/forward.go
@@ -29,7 +29,11 @@
 	last := refused(outcome.ReasonNoHome, "")
 	for _, m := range n.homes(r.service.Name) {
 		if m.Name() == n.settings.Name {
-			return combine(last, n.runAtHome(ctx, r))
+			last = combine(last, n.runAtHome(ctx, r))
+			if !r.declined(last.outcome.Reason) {
+				return last
+			}
+			continue
 		}
 		res, next := n.forward(ctx, r, m)
 		res = combine(last, res)
@@ -72,13 +76,19 @@
 	if res.outcome.Reason == outcome.ReasonShutdown {
 		n.suspect(m.Name())
 	}
-	return res, declined(res.outcome.Reason) && r.body.replayable()
+	return res, r.declined(res.outcome.Reason)
 }
 
-// declined reports whether a home gave a request back for another to serve: it
-// is shutting down, or has no configuration with the route yet.
-func declined(r outcome.Reason) bool {
-	return r == outcome.ReasonShutdown || r == outcome.ReasonNoRoute
+// declined reports whether a home gave the request back for another to serve:
+// it is shutting down, or has no configuration with the route yet.
+func (r *request) declined(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.ReasonShutdown, outcome.ReasonNoRoute:
+		return r.body.replayable()
+	case outcome.ReasonHomeLost:
+		return r.resendableToHome()
+	}
+	return false
 }
 
 // forwardFailed says what became of a request whose hop to the home failed.
--- a/node/home.go
+++ b/node/home.go
@@ -34,18 +34,49 @@
 
 // runHere runs a request on the targets of its service, as their home.
 func (n *Node) runHere(ctx context.Context, r *request) result {
+	p, res := n.place(ctx, r, nil)
+	if p == nil {
+		return res
+	}
+	return n.runFrom(ctx, r, p)
+}
+
+// place is a slot of a target that a request was given.
+type place struct {
+	grant grant
+	id    pool.RequestID
+}
+
+// place waits for a slot. It returns nil and the answer if there is none.
+func (n *Node) place(ctx context.Context, r *request, exclude []string) (*place, result) {
+	g, id := n.admit(ctx, r, exclude)
+	if g.refusal == nil {
+		return &place{grant: g, id: id}, result{}
+	}
+	n.emitRefusal(r, g)
+	return nil, result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter), unsent: true}
+}
+
+// giveBack frees a slot that was not used.
+func (n *Node) giveBack(r *request, p *place) {
+	n.control.send(finishCommand{
+		service: r.service.Name,
+		id:      p.id,
+		result:  pool.Result{Verdict: pool.VerdictCancelled},
+	})
+}
+
+// runFrom runs a request, first in the given place.
+func (n *Node) runFrom(ctx context.Context, r *request, p *place) result {
 	var exclude []string
 	var last result
 	for try := 1; ; try++ {
-		g, id := n.admit(ctx, r, exclude)
-		if g.refusal != nil {
-			n.emitRefusal(r, g)
-			if try > 1 {
+		if try > 1 {
+			if p, _ = n.place(ctx, r, exclude); p == nil {
 				return last
 			}
-			return result{outcome: outcome.New(g.refusal.Reason, "", g.refusal.RetryAfter), unsent: true}
 		}
-		a := n.try(ctx, r, g, id)
+		a := n.try(ctx, r, p.grant, p.id)
 		res := n.conclude(r, a)
 		res.unsent = a.unsent() && (try == 1 || last.unsent)
 		if try > 1 {
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -25,28 +25,74 @@
 // of an earlier request with the same key.
 func (n *Node) runKeyed(ctx context.Context, r *request) result {
 	claim := once.Request{ID: once.RequestID(n.lastID.Add(1)), Key: r.key, Digest: r.askedFor()}
-	verdicts := make(chan claimVerdict, 1)
+	verdicts := make(chan claimVerdict, maxVerdicts)
 	if !n.control.send(claimCommand{service: r.service.Name, request: claim, reply: verdicts}) {
 		return refused(outcome.ReasonEarlierUnknown, "the node has stopped")
 	}
-	select {
-	case v := <-verdicts:
-		if v.dispatch {
-			return n.runClaimed(ctx, r, claim.ID)
+	return n.awaitClaim(ctx, r, claim, verdicts)
+}
+
+// awaitClaim does what the Home says: first it has the request wait for a
+// place, so that a key is claimed only for a request that can start.
+func (n *Node) awaitClaim(ctx context.Context, r *request, claim once.Request, verdicts <-chan claimVerdict) result {
+	var p *place
+	for {
+		select {
+		case v := <-verdicts:
+			switch {
+			case v.admit:
+				var res result
+				if p, res = n.placeClaim(ctx, r, claim, verdicts); p == nil {
+					return res
+				}
+			case v.dispatch:
+				return n.runClaimed(ctx, r, claim.ID, p)
+			default:
+				n.abandonPlace(r, p)
+				return replay(v.result)
+			}
+		case <-ctx.Done():
+			n.control.send(withdrawCommand{service: r.service.Name, request: claim, reply: verdicts})
+			n.abandonPlace(r, p)
+			if expired(ctx) {
+				return refused(outcome.ReasonTimeout, "no outcome of the idempotency key in time")
+			}
+			return refused(outcome.ReasonCallerLeft, "")
 		}
-		return replay(v.result)
-	case <-ctx.Done():
+	}
+}
+
+// placeClaim waits for a slot and tells the Home. It returns nil and the
+// answer if there is none.
+func (n *Node) placeClaim(ctx context.Context, r *request, claim once.Request, verdicts <-chan claimVerdict) (*place, result) {
+	p, res := n.place(ctx, r, nil)
+	switch {
+	case p != nil:
+		n.control.send(admittedCommand{service: r.service.Name, request: claim})
+	case res.outcome.Kind == outcome.NotRun:
+		n.control.send(notAdmittedCommand{service: r.service.Name, request: claim, result: once.Result{Outcome: res.outcome}})
+	default:
 		n.control.send(withdrawCommand{service: r.service.Name, request: claim, reply: verdicts})
-		if expired(ctx) {
-			return refused(outcome.ReasonTimeout, "no outcome of the idempotency key in time")
-		}
-		return refused(outcome.ReasonCallerLeft, "")
+	}
+	return p, res
+}
+
+// abandonPlace frees the slot of a request that is not dispatched, if it has one.
+func (n *Node) abandonPlace(r *request, p *place) {
+	if p != nil {
+		n.giveBack(r, p)
 	}
 }
 
-// runClaimed runs a request whose key is claimed and reports its end.
-func (n *Node) runClaimed(ctx context.Context, r *request, id once.RequestID) result {
-	res := n.runHere(ctx, r)
+// runClaimed runs a request whose key is claimed and reports its end. One that
+// waited behind another may have no place yet.
+func (n *Node) runClaimed(ctx context.Context, r *request, id once.RequestID, p *place) result {
+	var res result
+	if p != nil {
+		res = n.runFrom(ctx, r, p)
+	} else {
+		res = n.runHere(ctx, r)
+	}
 	end := func(o once.Result) {
 		n.control.send(claimEndCommand{service: r.service.Name, id: id, result: o})
 	}
--- a/node/onceservice.go
+++ b/node/onceservice.go
@@ -37,8 +37,13 @@
 	candidates time.Time
 }
 
-// claimVerdict answers a claim: the request may be dispatched, or ends so.
+// maxVerdicts is the most verdicts on one claim: to find a place, and the last.
+const maxVerdicts = 2
+
+// claimVerdict answers a claim: the request is to find a place, may be
+// dispatched, or ends so.
 type claimVerdict struct {
+	admit    bool
 	dispatch bool
 	result   once.Result
 }
@@ -55,11 +60,14 @@
 }
 
 // onceHome returns the Home of a service, made on first use.
-func (c *controlLoop) onceHome(service string) *onceService {
+func (c *controlLoop) onceHome(service string, now time.Time) *onceService {
 	s := c.once.homes[service]
 	if s == nil {
 		s = &onceService{control: c, service: service, waiting: make(map[once.RequestID]chan<- claimVerdict)}
 		s.home = once.NewHome(once.DefaultConfig(), c.env.member(), s)
+		if c.once.leaving {
+			s.home.SetLeaving(now)
+		}
 		c.once.homes[service] = s
 	}
 	return s
@@ -99,6 +107,13 @@
 	return max(next.Sub(now), minOnceTick)
 }
 
+// Admit implements once.Delegate.
+func (s *onceService) Admit(id once.RequestID) {
+	if ch, ok := s.waiting[id]; ok {
+		ch <- claimVerdict{admit: true}
+	}
+}
+
 // Dispatch implements once.Delegate.
 func (s *onceService) Dispatch(id once.RequestID) {
 	s.answer(id, claimVerdict{dispatch: true})
@@ -132,8 +147,8 @@
 	s.control.env.writeTenure(s.service, op, t, after)
 }
 
-// claimCommand asks for leave to dispatch; the verdict comes on reply, which
-// must have room for one.
+// claimCommand asks for leave to dispatch; the verdicts come on reply, which
+// must have room for maxVerdicts.
 type claimCommand struct {
 	service string
 	request once.Request
@@ -141,7 +156,7 @@
 }
 
 func (m claimCommand) apply(c *controlLoop, now time.Time) {
-	s := c.onceHome(m.service)
+	s := c.onceHome(m.service, now)
 	s.updateCandidates(now)
 	s.waiting[m.request.ID] = m.reply
 	s.home.Submit(now, m.request)
@@ -156,17 +171,47 @@
 }
 
 func (m withdrawCommand) apply(c *controlLoop, now time.Time) {
-	s := c.onceHome(m.service)
+	s := c.onceHome(m.service, now)
 	if _, ok := s.waiting[m.request.ID]; ok {
 		delete(s.waiting, m.request.ID)
 		s.home.Cancel(now, m.request)
 		return
 	}
-	if v := <-m.reply; v.dispatch {
-		s.home.Finish(now, m.request.ID, notDispatched())
+	for {
+		v := <-m.reply
+		switch {
+		case v.admit:
+			continue
+		case v.dispatch:
+			s.home.Finish(now, m.request.ID, notDispatched())
+		}
+		return
 	}
 }
 
+// admittedCommand tells that a request has a place.
+type admittedCommand struct {
+	service string
+	request once.Request
+}
+
+func (m admittedCommand) apply(c *controlLoop, now time.Time) {
+	c.onceHome(m.service, now).home.Admitted(now, m.request)
+}
+
+// notAdmittedCommand tells that a request got no place.
+type notAdmittedCommand struct {
+	service string
+	request once.Request
+	result  once.Result
+}
+
+func (m notAdmittedCommand) apply(c *controlLoop, now time.Time) {
+	s := c.onceHome(m.service, now)
+	delete(s.waiting, m.request.ID)
+	s.home.Refused(m.request, m.result)
+}
+
 // notDispatched is the end of a claim whose request was never sent, for those
 // who waited behind it.
 func notDispatched() once.Result {
@@ -181,7 +226,7 @@
 }
 
 func (m claimEndCommand) apply(c *controlLoop, now time.Time) {
-	c.onceHome(m.service).home.Finish(now, m.id, m.result)
+	c.onceHome(m.service, now).home.Finish(now, m.id, m.result)
 }
 
 // ackCommand brings a witness's answer.
@@ -193,7 +238,7 @@
 }
 
 func (m ackCommand) apply(c *controlLoop, now time.Time) {
-	c.onceHome(m.service).home.Received(now, m.op, m.ack, m.answered)
+	c.onceHome(m.service, now).home.Received(now, m.op, m.ack, m.answered)
 }
 
 // tenureReadCommand brings the record from the store.
@@ -206,7 +251,7 @@
 }
 
 func (m tenureReadCommand) apply(c *controlLoop, now time.Time) {
-	c.onceHome(m.service).home.HaveRead(now, m.op, m.tenure, m.revision, m.ok)
+	c.onceHome(m.service, now).home.HaveRead(now, m.op, m.tenure, m.revision, m.ok)
 }
 
 // tenureWrittenCommand brings the end of a write to the store.
@@ -218,7 +263,7 @@
 }
 
 func (m tenureWrittenCommand) apply(c *controlLoop, now time.Time) {
-	c.onceHome(m.service).home.HaveWritten(now, m.op, m.revision, m.ok)
+	c.onceHome(m.service, now).home.HaveWritten(now, m.op, m.revision, m.ok)
 }
 
 // witnessCommand has this node's witness of a service handle a message; the
@@ -234,12 +279,16 @@
 	m.reply <- c.onceWitness(m.service).Receive(now, m.to, m.message)
 }
 
-// witnessLeavingCommand has homes replace this node as a witness.
+// witnessLeavingCommand has homes replace this node as a witness, and this
+// node's homes leave their services to others.
 type witnessLeavingCommand struct{}
 
-func (witnessLeavingCommand) apply(c *controlLoop, _ time.Time) {
+func (witnessLeavingCommand) apply(c *controlLoop, now time.Time) {
 	c.once.leaving = true
 	for _, w := range c.once.witnesses {
 		w.SetLeaving(true)
 	}
+	for _, s := range c.once.homes {
+		s.home.SetLeaving(now)
+	}
 }
--- a/once/claim.go
+++ b/once/claim.go
@@ -66,6 +66,7 @@
 // for it wait on for another.
 func (h *Home) abandon(e *entry) {
 	h.forget(e)
+	h.tell(Release{Key: e.key, Claim: e.claim})
 	h.pending = append(h.pending, e.owner)
 	h.pending = append(h.pending, e.followers...)
 }
@@ -99,10 +100,7 @@
 		if h.known(now, w.Request) {
 			continue
 		}
-		if h.active() && h.begin(now, w) {
-			continue
-		}
-		h.pending = append(h.pending, w)
+		h.offer(now, w)
 	}
 }
 
@@ -111,21 +109,30 @@
 	list := h.pending
 	h.pending = nil
 	for _, w := range list {
-		if now.Sub(w.arrived) < h.cfg.ClaimTimeout {
+		if now.Sub(w.arrived) < h.cfg.ClaimTimeout && !h.handsOver() {
 			h.pending = append(h.pending, w)
 			continue
 		}
 		if !h.known(now, w.Request) {
-			h.giveUp(now, w)
+			h.giveUp(w)
 		}
 	}
 }
 
+// handsOver reports whether another home has to serve those who wait.
+func (h *Home) handsOver() bool {
+	return h.leaving && h.in(phaseIdle)
+}
+
 // giveUp refuses a request that got no claim. It is certain that the key was
 // not dispatched if, after the request came, the store showed that no other
 // home had taken over since this one knew all keys.
-func (h *Home) giveUp(now time.Time, w waiter) {
-	unseen := h.complete && !now.Before(h.lostUntil)
+func (h *Home) giveUp(w waiter) {
+	if h.handsOver() {
+		h.refuse(w.ID, outcome.ReasonHomeLost, "the home is going down")
+		return
+	}
+	unseen := h.complete && !w.arrived.Before(h.lostUntil)
 	if unseen && h.confirmed > w.before {
 		h.refuse(w.ID, outcome.ReasonNoClaim, "")
 		return
--- a/once/home.go
+++ b/once/home.go
@@ -36,7 +36,12 @@
 // Delegate carries out what a Home decides. Its methods are called during a
 // call to the Home and must neither block nor call it back.
 type Delegate interface {
+	// Admit finds a place for a request whose key is new; Admitted, Refused or
+	// Cancel must follow. No key is claimed for a request that only waits, so
+	// that a home's crash leaves it certainly not run.
+	Admit(id RequestID)
 	// Dispatch runs the request on a target, at most once; Finish must follow.
+	// A request that waited behind another may not have been admitted.
 	Dispatch(id RequestID)
 	// Reply ends a request that is not dispatched.
 	Reply(id RequestID, r Result)
@@ -61,7 +66,9 @@
 
 	// epoch is that of the latest tenure that this home claimed; complete says
 	// that entries hold every key that was dispatched up to it.
-	epoch     Epoch
+	epoch Epoch
+	// held are the epochs of all tenures that this home claimed.
+	held      map[Epoch]bool
 	complete  bool
 	lostUntil time.Time
 	entries   map[Key]*entry
@@ -69,12 +76,15 @@
 	kept      int
 	sequence  uint64
 
+	// queued holds the requests that wait for a place, by key.
+	queued  map[Key]*queuedKey
 	pending []waiter
 	ops     map[OpID]op
 	lastOp  OpID
 
 	round       round
 	doubt       bool // a witness failed: it has to be replaced
+	leaving     bool
 	retryAt     time.Time
 	heartbeatAt time.Time
 	sweepAt     time.Time
@@ -95,6 +105,8 @@
 	arrived time.Time
 	// before is the last operation that was started when the request came.
 	before OpID
+	// admitted says that the request has a place.
+	admitted bool
 }
 
 // NewHome returns a home that holds no tenure.
@@ -104,8 +116,10 @@
 		self:     self,
 		delegate: d,
 		phase:    newPhaseMachine(),
+		held:     make(map[Epoch]bool),
 		entries:  make(map[Key]*entry),
 		dispatch: make(map[RequestID]*entry),
+		queued:   make(map[Key]*queuedKey),
 		ops:      make(map[OpID]op),
 		missed:   make(map[Member]int),
 	}
@@ -117,17 +131,28 @@
 	h.candidates = names
 }
 
-// Submit offers a request: it is dispatched or replied to, now or later.
+// SetLeaving tells that the node is going down. A home that leaves does not
+// take a tenure back: those who wait are told to ask the next one.
+func (h *Home) SetLeaving(now time.Time) {
+	h.leaving = true
+	h.Tick(now)
+}
+
+// Submit offers a request: it is admitted, dispatched or replied to, now or later.
 func (h *Home) Submit(now time.Time, r Request) {
 	if h.known(now, r) {
 		return
 	}
-	w := waiter{Request: r, arrived: now, before: h.lastOp}
-	if h.active() && h.begin(now, w) {
+	h.offer(now, waiter{Request: r, arrived: now, before: h.lastOp})
+	h.Tick(now)
+}
+
+// offer takes the next step for a request whose key is not known.
+func (h *Home) offer(now time.Time, w waiter) {
+	if h.active() && (h.enqueue(now, w) || h.begin(now, w)) {
 		return
 	}
 	h.pending = append(h.pending, w)
-	h.Tick(now)
 }
 
 // known answers a request whose key the home has seen. It reports false if the
@@ -140,6 +165,8 @@
 	switch {
 	case e.digest != r.Digest && e.state == stateClaiming:
 		return false
+	case e.digest != r.Digest && h.uncertain(e):
+		h.refuse(r.ID, outcome.ReasonEarlierUnknown, "the key came with another method, path or body before")
 	case e.digest != r.Digest:
 		h.refuse(r.ID, outcome.ReasonKeyReused, "the key came with another method, path or body before")
 	case e.state == stateClaiming || e.state == stateRunning:
@@ -154,6 +181,12 @@
 	return true
 }
 
+// uncertain reports whether another home claimed the key and may never have
+// dispatched it.
+func (h *Home) uncertain(e *entry) bool {
+	return e.state == stateUnknown && !h.held[e.claim.Epoch]
+}
+
 // refuse replies with an outcome that filbertmill itself gives.
 func (h *Home) refuse(id RequestID, reason outcome.Reason, detail string) {
 	h.delegate.Reply(id, Result{Outcome: outcome.New(reason, detail, 0)})
@@ -163,6 +196,7 @@
 // nothing to a request that was.
 func (h *Home) Cancel(now time.Time, r Request) {
 	h.pending = withoutWaiter(h.pending, r.ID)
+	h.leaveQueue(now, r)
 	e := h.entries[r.Key]
 	if e == nil {
 		return
--- a/once/memory.go
+++ b/once/memory.go
@@ -111,6 +111,9 @@
 // adoptRecord takes over one record of a copy.
 func (h *Home) adoptRecord(now time.Time, r Record) {
 	old := h.entries[r.Key]
+	if h.gaveUp(r, old) {
+		return
+	}
 	if old != nil && (old.state == stateRunning || !r.Claim.after(old.claim) && !r.Done) {
 		return
 	}
@@ -125,6 +128,13 @@
 	}
 }
 
+// gaveUp reports whether the record is of a claim that this home itself made
+// and never dispatched: it remembers all that it dispatched.
+func (h *Home) gaveUp(r Record, known *entry) bool {
+	own := h.held[r.Claim.Epoch]
+	return own && !r.Done && (known == nil || known.claim != r.Claim)
+}
+
 // snapshot returns what a new witness must know.
 func (h *Home) snapshot(now time.Time) Copy {
 	h.sweep(now)
--- a/once/takeover.go
+++ b/once/takeover.go
@@ -118,6 +118,7 @@
 // claimed goes on after the store took the new epoch.
 func (h *Home) claimed(now time.Time, o op, revision Revision) {
 	h.epoch = o.tenure.Epoch
+	h.held[h.epoch] = true
 	h.seen = max(h.seen, h.epoch)
 	h.round.record = o.tenure
 	h.round.revision = revision
--- a/once/tick.go
+++ b/once/tick.go
@@ -19,6 +19,7 @@
 // push takes the next step for the requests that wait.
 func (h *Home) push(now time.Time) {
 	switch {
+	case h.handsOver():
 	case h.in(phaseIdle):
 		h.want(now)
 	case h.in(phaseSealing) && h.waiting(opSeal) == 0 && !now.Before(h.retryAt):
--- a/once/witness.go
+++ b/once/witness.go
@@ -39,6 +39,17 @@
 	return len(w.records)
 }
 
+// Ended returns the number of keys whose requests ended with an answer.
+func (w *Witness) Ended() int {
+	n := 0
+	for _, h := range w.records {
+		if h.Done {
+			n++
+		}
+	}
+	return n
+}
+
 // Receive handles a message for the given member and returns the answer. An
 // Enlist may be for any incarnation.
 func (w *Witness) Receive(now time.Time, to Member, m Message) Ack {
