node: an answer to a keyed request waits until the witnesses know it

Cause: the end of a claim went to the witnesses in the background, so a home that crashed right after its answer left them with the claim only, and a repeat was told unknown. Change: the home waits for the witnesses' answers, at most 50 ms, before it answers. Ruled out: the takeover, which had the claim.

--- a/node/keyed.go
+++ b/node/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
@@ -9,6 +10,11 @@
 	"filbertmill.example/outcome"
 )
 
+// tellTimeout bounds how long an answer is held back until the witnesses know
+// it. Longer replays more answers after a crash; shorter delays answers less
+// while a witness is unreachable.
+const tellTimeout = 50 * time.Millisecond
+
 // runAtHome runs a request as the home of its service; one with an idempotency
 // key only after its claim.
 func (n *Node) runAtHome(ctx context.Context, r *request) result {
@@ -93,9 +99,7 @@
 	} else {
 		res = n.runHere(ctx, r)
 	}
-	end := func(o once.Result) {
-		n.control.send(claimEndCommand{service: r.service.Name, id: id, result: o})
-	}
+	end := func(o once.Result) { n.endClaim(ctx, r, id, o) }
 	switch {
 	case res.unsent && res.outcome.Kind != outcome.NotRun:
 		end(notDispatched())
@@ -109,6 +113,21 @@
 	return res
 }
 
+// endClaim reports the end of a claimed request and waits a little until the
+// witnesses know it: if the home crashes afterwards, a repeat is replayed and
+// not told that nobody knows.
+func (n *Node) endClaim(ctx context.Context, r *request, id once.RequestID, o once.Result) {
+	told := make(chan struct{})
+	if !n.control.send(claimEndCommand{service: r.service.Name, id: id, result: o, told: told}) {
+		return
+	}
+	select {
+	case <-told:
+	case <-ctx.Done():
+	case <-time.After(tellTimeout):
+	}
+}
+
 // endWithBody reports the end of a long answer once it was passed on. Its
 // content is not kept.
 func endWithBody(res result, end func(once.Result)) func(error) {
--- a/node/onceservice.go
+++ b/node/onceservice.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"time"
 
 	"filbertmill.example/once"
@@ -20,8 +21,9 @@
 	member() once.Member
 	// witnessCandidates names the nodes that may be witnesses, best first.
 	witnessCandidates(service string) []string
-	// sendWitness sends a message to a witness of a service.
-	sendWitness(service string, op once.OpID, to once.Member, m once.Message)
+	// sendWitness sends a message to a witness of a service and calls ended,
+	// if not nil, once it was answered or given up.
+	sendWitness(service string, op once.OpID, to once.Member, m once.Message, ended func())
 	// readTenure and writeTenure reach the service's record in the store.
 	readTenure(service string, op once.OpID)
 	writeTenure(service string, op once.OpID, t once.Tenure, after once.Revision)
@@ -35,6 +37,9 @@
 	home       *once.Home
 	waiting    map[once.RequestID]chan<- claimVerdict
 	candidates time.Time
+	// telling counts the messages that the running command sends; nil if it
+	// does not ask.
+	telling *sync.WaitGroup
 }
 
 // maxVerdicts is the most verdicts on one claim: to find a place, and the last.
@@ -134,7 +139,12 @@
 
 // Send implements once.Delegate.
 func (s *onceService) Send(op once.OpID, to once.Member, m once.Message) {
-	s.control.env.sendWitness(s.service, op, to, m)
+	var ended func()
+	if s.telling != nil {
+		s.telling.Add(1)
+		ended = s.telling.Done
+	}
+	s.control.env.sendWitness(s.service, op, to, m, ended)
 }
 
 // Read implements once.Delegate.
@@ -218,15 +228,25 @@
 	return once.Result{Outcome: outcome.New(outcome.ReasonNoClaim, "the request ahead of this one was withdrawn", 0)}
 }
 
-// claimEndCommand reports the end of a dispatched request.
+// claimEndCommand reports the end of a dispatched request. The told channel is
+// closed once the witnesses know, or do not answer.
 type claimEndCommand struct {
 	service string
 	id      once.RequestID
 	result  once.Result
+	told    chan<- struct{}
 }
 
 func (m claimEndCommand) apply(c *controlLoop, now time.Time) {
-	c.onceHome(m.service, now).home.Finish(now, m.id, m.result)
+	s := c.onceHome(m.service, now)
+	telling := &sync.WaitGroup{}
+	s.telling = telling
+	s.home.Finish(now, m.id, m.result)
+	s.telling = nil
+	go func() {
+		telling.Wait()
+		close(m.told)
+	}()
 }
 
 // ackCommand brings a witness's answer.
--- a/node/witnesscall.go
+++ b/node/witnesscall.go
@@ -16,8 +16,11 @@
 )
 
 // sendWitness implements onceEnvironment.
-func (n *Node) sendWitness(service string, op once.OpID, to once.Member, m once.Message) {
+func (n *Node) sendWitness(service string, op once.OpID, to once.Member, m once.Message, ended func()) {
 	go func() {
+		if ended != nil {
+			defer ended()
+		}
 		ack, err := n.callWitness(service, to, m)
 		if op == 0 {
 			return
