--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -221,19 +221,21 @@
 	}
 }
 
-// ask has the control goroutine run fn and waits for it.
-func (a *Agent) ask(ctx context.Context, fn func(now time.Time)) error {
-	done := make(chan struct{})
-	if !a.post(func(now time.Time) { fn(now); close(done) }) {
-		return control.ErrClosed
+// ask has the control goroutine run fn and returns its value. If the caller
+// gives up, fn may still run; nothing but its value leaves it.
+func ask[T any](ctx context.Context, a *Agent, fn func(now time.Time) T) (T, error) {
+	var none T
+	reply := make(chan T, 1)
+	if !a.post(func(now time.Time) { reply <- fn(now) }) {
+		return none, control.ErrClosed
 	}
 	select {
-	case <-done:
-		return nil
+	case v := <-reply:
+		return v, nil
 	case <-a.ended:
-		return control.ErrClosed
+		return none, control.ErrClosed
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -53,8 +53,8 @@
 
 func (n *testNode) isWatching(t *testing.T) bool {
 	t.Helper()
-	watching := false
-	qt.Assert(t, n.agent.ask(t.Context(), func(time.Time) { watching = n.agent.watch != nil }), qt.IsNil)
+	watching, err := ask(t.Context(), n.agent, func(time.Time) bool { return n.agent.watch != nil })
+	qt.Assert(t, err, qt.IsNil)
 	return watching
 }
 
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -104,17 +104,16 @@
 	if err := control.Unmarshal(body, &theirs); err != nil {
 		return nil, err
 	}
-	var own exchange
-	err := a.ask(ctx, func(now time.Time) {
-		own = a.ownExchange()
+	return ask(ctx, a, func(now time.Time) exchange {
+		own := a.ownExchange()
 		own.Others = a.othersThan(from)
 		// A member that is wrong about itself is told so, to let it refute.
 		if e, ok := a.table.entries[from]; ok && e.member.Supersedes(theirs.Self) {
 			own.Rumors = append(own.Rumors, e.member)
 		}
 		a.merge(theirs, now)
+		return own
 	})
-	return own, err
 }
 
 // othersThan counts the members that are not gone besides this node and one more.
@@ -175,8 +174,8 @@
 		if a.cfg.Transport.Call(ctx, peer, kindDigests, empty{}, &d) != nil {
 			return
 		}
-		var differ []uint16
-		if a.ask(ctx, func(time.Time) { differ = a.table.differing(d.Packed) }) != nil || len(differ) == 0 {
+		differ, err := ask(ctx, a, func(time.Time) []uint16 { return a.table.differing(d.Packed) })
+		if err != nil || len(differ) == 0 {
 			return
 		}
 		rng := rand.New(rand.NewPCG(seed, 0))
@@ -195,9 +194,7 @@
 }
 
 func (a *Agent) handleDigests(ctx context.Context, _ string, _ []byte) (any, error) {
-	var d digests
-	err := a.ask(ctx, func(time.Time) { d.Packed = a.table.packedDigests() })
-	return d, err
+	return ask(ctx, a, func(time.Time) digests { return digests{Packed: a.table.packedDigests()} })
 }
 
 func (a *Agent) handleRecords(ctx context.Context, _ string, body []byte) (any, error) {
@@ -205,9 +202,7 @@
 	if err := control.Unmarshal(body, &req); err != nil {
 		return nil, err
 	}
-	var r records
-	err := a.ask(ctx, func(time.Time) { r.Members = a.table.records(req.Buckets) })
-	return r, err
+	return ask(ctx, a, func(time.Time) records { return records{Members: a.table.records(req.Buckets)} })
 }
 
 // announceDeparture marks this node as leaving and tells its partners.
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -113,17 +113,17 @@
 	return a.inForce.Load().pack(req.Have)
 }
 
-func (a *Agent) handleRevision(ctx context.Context, from string, body []byte) (any, error) {
+func (a *Agent) handleRevision(_ context.Context, from string, body []byte) (any, error) {
 	var n revisionNotice
 	if err := control.Unmarshal(body, &n); err != nil {
 		return nil, err
 	}
-	err := a.ask(ctx, func(time.Time) {
+	a.post(func(time.Time) {
 		if e, ok := a.table.entries[from]; ok {
 			a.offer(e.member, n.Version)
 		}
 	})
-	return nil, err
+	return nil, nil
 }
 
 // consider brings a document into force if it is newer than the present one
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -66,11 +66,9 @@
 // Members returns all members that are not gone, suspected and leaving ones
 // included. Callers must not change the list.
 func (a *Agent) Members(ctx context.Context) ([]Member, error) {
-	var members []Member
-	err := a.ask(ctx, func(time.Time) {
-		members = a.table.inState(StateAlive, StateSuspect, StateLeaving)
+	return ask(ctx, a, func(time.Time) []Member {
+		return a.table.inState(StateAlive, StateSuspect, StateLeaving)
 	})
-	return members, err
 }
 
 // Status asks all members for their state. It costs one call for each member.
@@ -97,13 +95,14 @@
 }
 
 func (a *Agent) statusOf(ctx context.Context, m Member) *NodeStatus {
-	var n NodeStatus
 	if m.Name() == a.cfg.Self.Name {
-		if a.ask(ctx, func(time.Time) { n = a.ownStatus() }) != nil {
+		n, err := ask(ctx, a, a.ownStatus)
+		if err != nil {
 			return nil
 		}
 		return &n
 	}
+	var n NodeStatus
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	if a.cfg.Transport.Call(ctx, m.Peer, kindStatus, empty{}, &n) != nil {
@@ -113,12 +112,10 @@
 }
 
 func (a *Agent) handleStatus(ctx context.Context, _ string, _ []byte) (any, error) {
-	var n NodeStatus
-	err := a.ask(ctx, func(time.Time) { n = a.ownStatus() })
-	return n, err
+	return ask(ctx, a, a.ownStatus)
 }
 
-func (a *Agent) ownStatus() NodeStatus {
+func (a *Agent) ownStatus(time.Time) NodeStatus {
 	n := NodeStatus{
 		Name:      a.self.Name(),
 		InForce:   a.inForce.Load().document.Version,
