--- a/measure/figure.go
+++ b/measure/figure.go
@@ -44,12 +44,14 @@
 	toolP99         = measure{"tool_p99_ms", "ms", nil}
 	addedP99        = measure{"added_p99_ms", "ms", atMost(7.6)}
 	addedP50        = measure{"added_p50_ms", "ms", nil}
+	addedP90        = measure{"added_p90_ms", "ms", nil}
 	crestGoodput    = measure{"crest_goodput_ratio", "ratio", atLeast(0.95)}
 	refusedP99      = measure{"refused_p99_ms", "ms", nil}
 	noRetryAfter    = measure{"refused_without_retry_after", "requests", atMost(0)}
 	detection       = measure{"detection_s", "s", atMost(2)}
 	detectionLow    = measure{"detection_requests", "requests", atMost(12)}
 	falseEjections  = measure{"false_ejections", "ejections", atMost(0)}
+	falseSuspicions = measure{"false_suspicions", "suspicions", nil}
 	shortWaitRatio  = measure{"short_wait_p99_ratio", "ratio", atMost(2)}
 	shortWaitAlone  = measure{"short_wait_alone_p99_ms", "ms", nil}
 	shortWaitMixed  = measure{"short_wait_mixed_p99_ms", "ms", nil}
@@ -64,8 +66,12 @@
 	cutOnDrain      = measure{"requests_cut_on_drain", "requests", atMost(0)}
 	refusedOnDrain  = measure{"requests_refused_on_drain", "requests", nil}
 	lateWork        = measure{"late_work_on_leaving_target", "requests", atMost(0)}
+	floorHeld       = measure{"floor_held", "ejections withheld", nil}
 	floorViolations = measure{"floor_violations", "snapshots", atMost(0)}
 	nodeRSS         = measure{"node_rss_mb", "MB", atMost(128)}
+	configInForce   = measure{"config_in_force_s", "s", atMost(5)}
+	revisionsBack   = measure{"revision_regressions", "reports", atMost(0)}
+	storeCalls      = measure{"store_calls_s", "calls/s", nil}
 	controlBytes    = measure{"control_bytes_per_node_s", "B/s", atMost(16 << 10)}
 	controlCPU      = measure{"control_cpu_ratio", "cores", atMost(0.036)}
 )
@@ -82,6 +88,13 @@
 	}
 }
 
+// label says what a figure belongs to.
+type label struct {
+	scenario string
+	variant  string
+	seed     uint64
+}
+
 // report collects the figures of a run.
 type report struct {
 	out     io.Writer
@@ -89,11 +102,11 @@
 }
 
 // add records one figure and writes its line.
-func (r *report) add(b *bench, m measure, value float64) {
+func (r *report) add(l label, m measure, value float64) {
 	f := Figure{
-		Scenario: b.scenario,
-		Seed:     b.opts.seed,
-		Variant:  b.variant,
+		Scenario: l.scenario,
+		Seed:     l.seed,
+		Variant:  l.variant,
 		Measure:  m.name,
 		Value:    value,
 		Unit:     m.unit,
