--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -18,6 +19,12 @@
 	"filbertmill.example/testbed/target"
 )
 
+const (
+	// addressInUse ends the log of a node whose address another program holds.
+	addressInUse = "address already in use\n"
+	restartPause = 200 * time.Millisecond
+)
+
 // seedCount is the number of nodes that each node knows from its settings.
 const seedCount = 3
 
@@ -147,6 +154,28 @@
 	return nil
 }
 
+// RestartNode starts the i-th node again and waits until it is ready. While
+// other programs on the machine hold one of its addresses, it waits for them.
+func (c *Cluster) RestartNode(ctx context.Context, i int) error {
+	for {
+		if err := c.StartNode(i); err != nil {
+			return err
+		}
+		n := c.Nodes[c.Specs[i].Name]
+		err := n.Ready(ctx)
+		if err == nil {
+			return nil
+		}
+		log, readErr := os.ReadFile(n.Log)
+		if readErr != nil || !strings.HasSuffix(string(log), addressInUse) {
+			return err
+		}
+		if err := sleep(ctx, restartPause); err != nil {
+			return err
+		}
+	}
+}
+
 // Kill ends a node at once.
 func (c *Cluster) Kill(name string) {
 	c.Nodes[name].Kill()
--- a/measure/fleetscale/changes.go
+++ b/measure/fleetscale/changes.go
@@ -153,12 +153,7 @@
 
 func (c *changer) restart(ctx context.Context, names []string) error {
 	for _, name := range names {
-		if err := c.fleet.StartNode(c.fleet.Index(name)); err != nil {
-			return err
-		}
-	}
-	for _, name := range names {
-		if err := c.fleet.Nodes[name].Ready(ctx); err != nil {
+		if err := c.fleet.RestartNode(ctx, c.fleet.Index(name)); err != nil {
 			return err
 		}
 	}
--- a/measure/fleetscale/cost.go
+++ b/measure/fleetscale/cost.go
@@ -43,6 +43,20 @@
 	residentKiB                 int64
 }
 
+// measureCosts measures each size and prints the slopes.
+func measureCosts(ctx context.Context, bin, dir string, a args) error {
+	var costs []cost
+	for _, n := range a.Sizes {
+		c, err := measureSize(ctx, bin, dir, n, a)
+		if err != nil {
+			return err
+		}
+		costs = append(costs, c)
+	}
+	printSlopes(costs)
+	return nil
+}
+
 func measureSize(ctx context.Context, bin, dir string, n int, a args) (cost, error) {
 	c := cost{nodes: n}
 	err := withCluster(ctx, bin, dir, n, func(f *cluster.Cluster) error {
--- a/measure/fleetscale/losses.go
+++ b/measure/fleetscale/losses.go
@@ -159,7 +159,7 @@
 	if pause {
 		err = f.Nodes[home].Resume()
 	} else {
-		err = f.StartNode(f.Index(home))
+		err = f.RestartNode(ctx, f.Index(home))
 	}
 	if err != nil {
 		return err
--- a/measure/fleetscale/main.go
+++ b/measure/fleetscale/main.go
@@ -30,6 +30,7 @@
 	Sizes   []int         `arg:"--sizes" help:"fleet sizes for the slopes [default: 6 12 24 48]"`
 	Changes int           `arg:"--changes" default:"200" help:"changes of configuration with faults, at the largest size"`
 	Idle    time.Duration `arg:"--idle" default:"30s" help:"time over which the cost of control is counted"`
+	NoCosts bool          `arg:"--no-costs" help:"leave out the costs at each size"`
 	Losses  int           `arg:"--losses" default:"5" help:"homes crashed and paused, one after another"`
 }
 
@@ -52,15 +53,11 @@
 	if err != nil {
 		return err
 	}
-	var costs []cost
-	for _, n := range a.Sizes {
-		c, err := measureSize(ctx, bin, dir, n, a)
-		if err != nil {
+	if !a.NoCosts {
+		if err := measureCosts(ctx, bin, dir, a); err != nil {
 			return err
 		}
-		costs = append(costs, c)
 	}
-	printSlopes(costs)
 	largest := a.Sizes[len(a.Sizes)-1]
 	if err := withCluster(ctx, bin, dir, largest, func(c *cluster.Cluster) error {
 		return measureFaults(ctx, c, a.Changes)
