once: a replaced home hands on; smaller copies; missing witnesses are found

Cause: over 50 rolling restarts 56 of 27,520 bookings were unknown: when a service's home came back, two nodes took the tenure from one another, and each takeover moved a copy that had grown to thousands of answers, until requests had waited for 2 s (phases polled by /claims in a run of 24 restarts). Change: a home that was replaced sends those who wait on to the next one for 3 s before it may take the tenure back; copies carry 4 MiB of the newest answers; a home with too few witnesses looks for more, and one without any runs keyed requests only if the settings name no other node.

--- a/node/onceservice.go
+++ b/node/onceservice.go
@@ -19,7 +19,8 @@
 	// member is this run of this node's process.
 	member() once.Member
 	// witnessCandidates names the nodes that may be witnesses, best first.
-	witnessCandidates(service string) []string
+	// Alone says that the fleet has no other node.
+	witnessCandidates(service string) (names []string, alone bool)
 	// sendWitness sends a message to a witness of a service.
 	sendWitness(service string, op once.OpID, to once.Member, m once.Message)
 	// readTenure and writeTenure reach the service's record in the store.
@@ -90,7 +91,8 @@
 		return
 	}
 	s.candidates = now
-	s.home.SetCandidates(s.control.env.witnessCandidates(s.service))
+	names, alone := s.control.env.witnessCandidates(s.service)
+	s.home.SetCandidates(names, alone)
 }
 
 // tick does what is due and returns the time until more is.
--- a/node/tenure.go
+++ b/node/tenure.go
@@ -74,7 +74,7 @@
 // witnessCandidates implements onceEnvironment: the service's ranks without
 // this node, those of other availability zones first and those that did not
 // respond lately last.
-func (n *Node) witnessCandidates(service string) []string {
+func (n *Node) witnessCandidates(service string) (names []string, alone bool) {
 	var near, far, avoided []string
 	view := n.membership.agent.View()
 	for _, m := range view.Homes(service) {
@@ -88,7 +88,17 @@
 			far = append(far, m.Name())
 		}
 	}
-	return append(append(far, near...), avoided...)
+	return append(append(far, near...), avoided...), n.alone()
+}
+
+// alone reports whether the settings know of no other node.
+func (n *Node) alone() bool {
+	for _, seed := range n.settings.Seeds {
+		if seed.Name != n.settings.Name {
+			return false
+		}
+	}
+	return n.settings.HostListURL == ""
 }
 
 // peerNamed returns where a member listens, also one that is leaving.
--- a/once/claim.go
+++ b/once/claim.go
@@ -109,27 +109,28 @@
 	list := h.pending
 	h.pending = nil
 	for _, w := range list {
-		if now.Sub(w.arrived) < h.cfg.ClaimTimeout && !h.handsOver() {
+		if now.Sub(w.arrived) < h.cfg.ClaimTimeout && !h.handsOver(now) {
 			h.pending = append(h.pending, w)
 			continue
 		}
 		if !h.known(now, w.Request) {
-			h.giveUp(w)
+			h.giveUp(now, w)
 		}
 	}
 }
 
-// handsOver reports whether another home has to serve those who wait.
-func (h *Home) handsOver() bool {
-	return h.leaving && h.in(phaseIdle)
+// handsOver reports whether another home has to serve those who wait: this one
+// is going down, or was replaced a moment ago.
+func (h *Home) handsOver(now time.Time) bool {
+	return h.in(phaseIdle) && (h.leaving || now.Before(h.yieldUntil))
 }
 
 // giveUp refuses a request that got no claim. It is certain that the key was
 // not dispatched if, after the request came, the store showed that no other
 // home had taken over since this one knew all keys.
-func (h *Home) giveUp(w waiter) {
-	if h.handsOver() {
-		h.refuse(w.ID, outcome.ReasonHomeLost, "the home is going down")
+func (h *Home) giveUp(now time.Time, w waiter) {
+	if h.handsOver(now) {
+		h.refuse(w.ID, outcome.ReasonHomeLost, "another node is the home now")
 		return
 	}
 	unseen := h.complete && !w.arrived.Before(h.lostUntil)
--- a/once/config.go
+++ b/once/config.go
@@ -16,8 +16,9 @@
 	ClaimTimeout time.Duration
 	// RetryInterval is the time between two attempts at what failed.
 	RetryInterval time.Duration
-	// RetakeDelay is how long a home that lost its tenure waits before it
-	// takes it back, so that two homes do not take it in turns.
+	// RetakeDelay is how long a home that lost its tenure sends requests on to
+	// the next one before it may take the tenure back, so that two homes do not
+	// take it in turns while nodes disagree on which of them it is.
 	RetakeDelay time.Duration
 	// HeartbeatInterval is the time between two checks of the witnesses. A
 	// shorter interval replaces a lost witness sooner, for more messages.
@@ -35,22 +36,31 @@
 	MaxAnswerBytes int
 	// MaxAnswersBytes is the most memory that kept answers of one service take.
 	MaxAnswersBytes int
+	// MaxCopyAnswersBytes is the most answers, in bytes, that go into a copy
+	// for a new witness or home, the newest first. More answers can be replayed
+	// after a home was replaced; requests wait while a copy travels.
+	MaxCopyAnswersBytes int
+	// ImproveInterval is the time between two attempts to find more witnesses
+	// if there are fewer than wanted.
+	ImproveInterval time.Duration
 }
 
 // DefaultConfig returns the settings used unless the operators say otherwise.
 func DefaultConfig() Config {
 	return Config{
-		Witnesses:         2,
-		Retention:         time.Hour,
-		ClaimTimeout:      2 * time.Second,
-		RetryInterval:     100 * time.Millisecond,
-		RetakeDelay:       500 * time.Millisecond,
-		HeartbeatInterval: time.Second,
-		MissedHeartbeats:  2,
-		SealTimeout:       30 * time.Second,
-		MaxKeys:           50_000,
-		MaxAnswerBytes:    4 << 10,
-		MaxAnswersBytes:   16 << 20,
+		Witnesses:           2,
+		Retention:           time.Hour,
+		ClaimTimeout:        2 * time.Second,
+		RetryInterval:       100 * time.Millisecond,
+		RetakeDelay:         3 * time.Second,
+		HeartbeatInterval:   time.Second,
+		MissedHeartbeats:    2,
+		SealTimeout:         30 * time.Second,
+		MaxKeys:             50_000,
+		MaxAnswerBytes:      4 << 10,
+		MaxAnswersBytes:     16 << 20,
+		MaxCopyAnswersBytes: 4 << 20,
+		ImproveInterval:     10 * time.Second,
 	}
 }
 
--- a/once/home.go
+++ b/once/home.go
@@ -63,6 +63,7 @@
 	delegate   Delegate
 	phase      *stateless.StateMachine
 	candidates []string
+	alone      bool
 
 	// epoch is that of the latest tenure that this home claimed; complete says
 	// that entries hold every key that was dispatched up to it.
@@ -87,8 +88,11 @@
 	leaving     bool
 	retryAt     time.Time
 	heartbeatAt time.Time
-	sweepAt     time.Time
-	missed      map[Member]int
+	improveAt   time.Time
+	// yieldUntil is until when another home is believed to have taken over.
+	yieldUntil time.Time
+	sweepAt    time.Time
+	missed     map[Member]int
 	// seen is the highest epoch that a witness has told of. Contradicted says
 	// that a witness knew this home's epoch as another's: the store was set
 	// back to an older record.
@@ -126,9 +130,11 @@
 }
 
 // SetCandidates replaces the names of the nodes that may be witnesses, best
-// first.
-func (h *Home) SetCandidates(names []string) {
+// first. Alone says that the fleet has no other node: the home then needs no
+// witness.
+func (h *Home) SetCandidates(names []string, alone bool) {
 	h.candidates = names
+	h.alone = alone
 }
 
 // SetLeaving tells that the node is going down. A home that leaves does not
--- a/once/memory.go
+++ b/once/memory.go
@@ -1,6 +1,10 @@
 package once
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // state is how far a key is.
 type state uint8
@@ -148,9 +152,24 @@
 		}
 		c.Records = append(c.Records, e.record(now, h.cfg.Retention))
 	}
+	limitAnswers(c.Records, h.cfg.MaxCopyAnswersBytes)
 	return c
 }
 
+// limitAnswers drops the answers that exceed the limit, the oldest first.
+func limitAnswers(records []Record, limit int) {
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.Key, b.Key))
+	})
+	size := 0
+	for i := range records {
+		size += records[i].Answer.Size()
+		if size > limit {
+			records[i].Answer = nil
+		}
+	}
+}
+
 // record returns what a witness must know of the entry.
 func (e *entry) record(now time.Time, retention time.Duration) Record {
 	r := Record{Key: e.key, Digest: e.digest, Claim: e.claim, Done: e.state == stateDone, Answer: e.answer}
--- a/once/takeover.go
+++ b/once/takeover.go
@@ -56,7 +56,8 @@
 // resign gives the tenure up to a home with a higher epoch.
 func (h *Home) resign(now time.Time) {
 	h.complete = false
-	h.stop(now, h.cfg.RetakeDelay)
+	h.yieldUntil = now.Add(h.cfg.RetakeDelay)
+	h.stop(now, 0)
 }
 
 // haveRecord claims the next epoch after the record that was read.
@@ -68,6 +69,10 @@
 	if mine && o.kind == opVerify {
 		return
 	}
+	if h.active() && !mine {
+		h.resign(now)
+		return
+	}
 	switch {
 	case mine: // nobody else can have dispatched since
 	case h.contradicted || t.Epoch < max(h.epoch, h.seen):
@@ -207,9 +212,13 @@
 	h.round.enlisted = nil
 	h.round.chosen = nil
 	asked := h.candidates[:min(len(h.candidates), h.cfg.Witnesses+enlistSpare)]
-	if len(asked) == 0 {
+	switch {
+	case len(asked) == 0 && h.alone:
 		h.install(now)
 		return
+	case len(asked) == 0:
+		h.stop(now, h.cfg.RetryInterval)
+		return
 	}
 	for _, name := range asked {
 		h.send(now, Member{Name: name}, Enlist{}, op{kind: opEnlist})
--- a/once/tick.go
+++ b/once/tick.go
@@ -19,7 +19,7 @@
 // push takes the next step for the requests that wait.
 func (h *Home) push(now time.Time) {
 	switch {
-	case h.handsOver():
+	case h.handsOver(now):
 	case h.in(phaseIdle):
 		h.want(now)
 	case h.in(phaseSealing) && h.waiting(opSeal) == 0 && !now.Before(h.retryAt):
@@ -63,6 +63,18 @@
 	for _, member := range h.round.witnesses {
 		h.send(now, member, Enlist{}, op{kind: opHeartbeat})
 	}
+	h.improve(now)
+}
+
+// improve looks for more witnesses if there are fewer than wanted.
+func (h *Home) improve(now time.Time) {
+	wanted := min(h.cfg.Witnesses, len(h.candidates))
+	if len(h.round.witnesses) >= wanted || now.Before(h.improveAt) {
+		return
+	}
+	h.improveAt = now.Add(h.cfg.ImproveInterval)
+	h.doubt = true
+	h.renew(now)
 }
 
 // heard notes a witness's answer to a heartbeat.
