--- a/measure/files.go
+++ b/measure/files.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"filbertmill.example/fleet/publish"
 )
@@ -31,7 +32,7 @@
 	for _, svc := range b.deployment.services() {
 		fmt.Fprintf(&s, "[service %s]\nslots = %d\nlong_share = %g\n", svc.name, svc.slots, svc.longShare)
 		fmt.Fprintf(&s, "[route %s]\nprefix = /%s\nservice = %s\ntimeout = %s\nidempotency = %s\n",
-			svc.name, svc.name, svc.name, svc.class.Patience, b.idempotency(svc))
+			svc.name, svc.name, svc.name, routeTimeout(svc), b.idempotency(svc))
 	}
 	long := b.deployment.batch.name
 	fmt.Fprintf(&s, "[route %s-long]\nprefix = /%s/long\nservice = %s\ntimeout = 60s\n", long, long, long)
@@ -43,6 +44,10 @@
 	return err
 }
 
+// routeTimeout is a little shorter than the callers' patience, so that they
+// still hear what became of their requests.
+func routeTimeout(svc service) time.Duration { return svc.class.Patience * 19 / 20 }
+
 func (b *bench) idempotency(svc service) string {
 	switch {
 	case svc.name != b.deployment.booking.name:
