measure: unanswered requests count with their callers' patience

Change: a request without an answer counts with its caller's patience; both deployments are compared at the same 80 requests a second of each class. Conclusion: losing requests no longer looks fast.

--- a/measure/added.go
+++ b/measure/added.go
@@ -13,8 +13,8 @@
 const (
 	// addedWork is the fixed service time of the requests compared.
 	addedWork = 5 * time.Millisecond
-	// addedShare is the load, as a share of the capacity, at which no queue forms.
-	addedShare = 0.05
+	// addedRate is the number of requests a second of each class; no queue forms.
+	addedRate = 80
 	// idleSettle lets nodes come to rest before their costs are counted.
 	idleSettle = 3 * time.Second
 	// straightSlots is more than a straight stand-in ever needs.
@@ -116,10 +116,10 @@
 	all := b.scenario
 	for _, svc := range []service{b.deployment.lookup, b.deployment.booking} {
 		b.scenario = all + "/" + svc.name
-		of := func(s load.Sample) bool { return s.Class.Name == svc.name && s.Good() }
+		of := func(s load.Sample) bool { return s.Class.Name == svc.name }
 		t, d := load.Select(through, of), load.Select(direct, of)
 		added := func(q float64) float64 {
-			return milliseconds(load.Quantile(t, q, latency) - load.Quantile(d, q, latency))
+			return milliseconds(load.Quantile(t, q, answerTime) - load.Quantile(d, q, answerTime))
 		}
 		r.add(b.label, addedP50, added(50))
 		r.add(b.label, addedP90, added(90))
@@ -131,6 +131,15 @@
 	return nil
 }
 
+// answerTime is a sample's latency, or the caller's whole patience if it got no
+// answer, so that losing requests never looks fast.
+func answerTime(s load.Sample) time.Duration {
+	if s.Good() {
+		return s.Latency
+	}
+	return max(s.Latency, s.Class.Patience)
+}
+
 // addedArrivals draws lookups and bookings of a fixed service time.
 func (b *bench) addedArrivals() []load.Arrival {
 	length := pick(b.opts, 5*time.Second, 30*time.Second)
@@ -138,7 +147,7 @@
 	for _, svc := range []service{b.deployment.lookup, b.deployment.booking} {
 		svc.class.Work = addedWork
 		svc.class.Exponential = false
-		streams = append(streams, svc.stream(load.Phase{For: length, Rate: addedShare}))
+		streams = append(streams, load.Stream{Class: svc.class, Phases: []load.Phase{{For: length, Rate: addedRate}}})
 	}
 	return load.Arrivals("added", b.opts.seed, streams...)
 }
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -122,6 +122,17 @@
 	}
 }
 
+func TestAnswerTimeOfARefusalIsThePatience(t *testing.T) {
+	s := load.Sample{
+		Arrival:  load.Arrival{Class: load.Class{Patience: time.Second}},
+		Latency:  time.Millisecond,
+		Attempts: []load.Attempt{{Result: load.ResultStatus}},
+	}
+	qt.Assert(t, answerTime(s), qt.Equals, time.Second)
+	s.Attempts[0].Result = load.ResultWhole
+	qt.Assert(t, answerTime(s), qt.Equals, time.Millisecond)
+}
+
 func TestTable(t *testing.T) {
 	var lines, table bytes.Buffer
 	r := &report{out: &lines}
