--- a/node/routes.go
+++ b/node/routes.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sort"
 	"strings"
 
 	"filbertmill.example/config/dynamic"
@@ -13,15 +12,17 @@
 
 // routeTable finds the route of a request. It is immutable.
 type routeTable struct {
-	byHost   map[string][]*dynamic.Route
+	byHost   map[string]*prefixes
+	byName   map[string]*dynamic.Route
 	services map[string]*dynamic.Service
 	targets  map[string]*dynamic.Target
 }
 
-// newRouteTable indexes the routes of a configuration, longest prefix first.
+// newRouteTable indexes a configuration.
 func newRouteTable(cfg *dynamic.Config) *routeTable {
 	t := &routeTable{
-		byHost:   make(map[string][]*dynamic.Route),
+		byHost:   make(map[string]*prefixes),
+		byName:   make(map[string]*dynamic.Route, len(cfg.Routes)),
 		services: make(map[string]*dynamic.Service),
 		targets:  make(map[string]*dynamic.Target),
 	}
@@ -32,25 +33,27 @@
 		t.services[cfg.Services[i].Name] = &cfg.Services[i]
 	}
 	for i := range cfg.Routes {
-		r := &cfg.Routes[i]
-		host := strings.ToLower(r.Host)
-		t.byHost[host] = append(t.byHost[host], r)
-	}
-	for _, list := range t.byHost {
-		sort.SliceStable(list, func(i, j int) bool {
-			return len(list[i].PathPrefix) > len(list[j].PathPrefix)
-		})
+		t.addRoute(&cfg.Routes[i])
 	}
 	return t
 }
 
+func (t *routeTable) addRoute(r *dynamic.Route) {
+	t.byName[r.Name] = r
+	host := strings.ToLower(r.Host)
+	if t.byHost[host] == nil {
+		t.byHost[host] = &prefixes{routes: make(map[string]*dynamic.Route)}
+	}
+	t.byHost[host].add(r)
+}
+
 // match returns the route with the longest prefix among those of the host, or
 // else among those of any host; nil if none matches.
 func (t *routeTable) match(host, path string) *dynamic.Route {
-	if r := matchPrefix(t.byHost[hostName(host)], path); r != nil {
+	if r := t.byHost[hostName(host)].match(path); r != nil {
 		return r
 	}
-	return matchPrefix(t.byHost[anyHost], path)
+	return t.byHost[anyHost].match(path)
 }
 
 // hostName returns the host name of a Host header, without the port.
@@ -62,16 +65,7 @@
 }
 
 // route returns the route with the given name, or nil.
-func (t *routeTable) route(name string) *dynamic.Route {
-	for _, list := range t.byHost {
-		for _, r := range list {
-			if r.Name == name {
-				return r
-			}
-		}
-	}
-	return nil
-}
+func (t *routeTable) route(name string) *dynamic.Route { return t.byName[name] }
 
 // endpoint returns the address of a service's target and its probe path.
 func (t *routeTable) endpoint(service, target string) (address, path string, ok bool) {
@@ -82,18 +76,6 @@
 	return tgt.Address, svc.ProbePath, true
 }
 
-// matchPrefix returns the first route whose prefix holds whole segments of path.
-func matchPrefix(list []*dynamic.Route, path string) *dynamic.Route {
-	for _, r := range list {
-		prefix := strings.TrimSuffix(r.PathPrefix, "/")
-		rest, ok := strings.CutPrefix(path, prefix)
-		if ok && (rest == "" || rest[0] == '/') {
-			return r
-		}
-	}
-	return nil
-}
-
 // idempotent reports whether a request of the route may be run more than once.
 func idempotent(r *dynamic.Route, method string) bool {
 	switch r.Idempotency {
