node: a crash is answered once the successors know of its quarantine

Cause: the quarantine went to the home's successors in the background, without an answer and without a second try during a back-off; a home that crashed soon after left successors that ran the poison request again. TestQuarantineOutlivesTheHome failed so once, in a whole run of scripts/test on a busy machine. Change: the successors answer, and the caller of the crashed request is answered after them or after 50 ms. Ruled out: another fingerprint (the requests differ in their id only).

--- a/node/control.go
+++ b/node/control.go
@@ -40,8 +40,9 @@
 type environment interface {
 	event.Sink
 	onceEnvironment
-	// spreadQuarantine tells the successors of a home of a poison request.
-	spreadQuarantine(e poison.Entry)
+	// spreadQuarantine tells the successors of a home of a poison request and
+	// calls told once they have answered or were given up.
+	spreadQuarantine(e poison.Entry, told func())
 	// probe asks for an observation of a target; the answer comes as a command.
 	probe(service, target, address, path string, origin pool.Origin)
 }
--- a/node/home.go
+++ b/node/home.go
@@ -261,7 +261,11 @@
 		_ = a.answer.Body.Close()
 	}
 	a.release()
-	n.control.send(finishCommand{
+	var told chan struct{}
+	if a.crashed {
+		told = make(chan struct{})
+	}
+	sent := n.control.send(finishCommand{
 		service: r.service.Name,
 		id:      a.id,
 		result:  pool.Result{Verdict: verdict, Latency: time.Since(a.start), Leaving: a.leaving},
@@ -269,5 +273,11 @@
 			target: a.target, route: r.route.Name, request: r.id,
 			fingerprint: r.fingerprint(), start: a.start, crashed: a.crashed,
 		},
+		told: told,
 	})
+	if a.crashed && sent {
+		// A repeat of a poison request must not find a successor that does
+		// not know it.
+		awaitTold(context.Background(), told)
+	}
 }
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -10,9 +10,9 @@
 	"filbertmill.example/outcome"
 )
 
-// tellTimeout bounds how long an answer is held back until the witnesses know
-// it. Longer replays more answers after a crash; shorter delays answers less
-// while a witness is unreachable.
+// tellTimeout bounds how long an answer is held back until the nodes that may
+// take the home's place know of it. Longer loses less when a home crashes;
+// shorter delays answers less while one of them is unreachable.
 const tellTimeout = 50 * time.Millisecond
 
 // runAtHome runs a request as the home of its service; one with an idempotency
@@ -121,6 +121,11 @@
 	if !n.control.send(claimEndCommand{service: r.service.Name, id: id, result: o, told: told}) {
 		return
 	}
+	awaitTold(ctx, told)
+}
+
+// awaitTold waits a little until other nodes know of an end.
+func awaitTold(ctx context.Context, told <-chan struct{}) {
 	select {
 	case <-told:
 	case <-ctx.Done():
--- a/node/poison.go
+++ b/node/poison.go
@@ -67,13 +67,16 @@
 }
 
 // judge tells the tracker how an attempt ended. The targets that a fingerprint
-// crashed are absolved once it is known to be the cause.
-func (p *servicePool) judge(now time.Time, m finishCommand) {
+// crashed are absolved once it is known to be the cause. It calls told once the
+// successors know of a quarantine, and at once if there is none.
+func (p *servicePool) judge(now time.Time, m finishCommand, told func()) {
 	switch {
 	case m.result.Verdict == pool.VerdictAnswered || m.result.Verdict == pool.VerdictServerError:
 		p.control.poison.Passed(m.attempt.fingerprint)
+		told()
 		return
 	case !m.attempt.crashed:
+		told()
 		return
 	}
 	entry, quarantined := p.control.poison.Crashed(poison.Report{
@@ -84,13 +87,14 @@
 		Crash:       poison.Crash{Target: m.attempt.target, Started: m.attempt.start, Ended: now},
 	})
 	if !quarantined {
+		told()
 		return
 	}
 	for _, crash := range entry.Crashes {
 		p.sched.Absolve(now, crash.Target, crash.Started)
 	}
 	p.Event(quarantineEvent(now, entry))
-	p.control.env.spreadQuarantine(entry)
+	p.control.env.spreadQuarantine(entry, told)
 }
 
 // quarantineEvent explains a quarantine.
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -145,17 +145,24 @@
 
 // spreadQuarantine implements environment: it tells the successors of the home,
 // so that they refuse the fingerprint when they take its place.
-func (n *Node) spreadQuarantine(e poison.Entry) {
+func (n *Node) spreadQuarantine(e poison.Entry, told func()) {
+	var peers []control.Peer
 	for _, m := range n.membership.agent.View().Homes(e.Service) {
-		if m.Name() == n.settings.Name {
-			continue
+		if m.Name() != n.settings.Name {
+			peers = append(peers, m.Peer)
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), poisonSpreadTimeout)
-			defer cancel()
-			_ = n.membership.transport.Send(ctx, m.Peer, kindPoisonEntry, e)
-		}()
 	}
+	go func() {
+		defer told()
+		ctx, cancel := context.WithTimeout(context.Background(), poisonSpreadTimeout)
+		defer cancel()
+		_, silent := askAll(ctx, peers, func(ctx context.Context, to control.Peer) (struct{}, error) {
+			return struct{}{}, n.membership.transport.Call(ctx, to, kindPoisonEntry, e, nil)
+		})
+		for _, s := range silent {
+			n.log.Warn("a successor was not told of a quarantine", "successor", s.name, "error", s.err.Error())
+		}
+	}()
 }
 
 // handlePoisonList answers an operator with what the whole fleet holds.
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -219,6 +219,9 @@
 	id      pool.RequestID
 	result  pool.Result
 	attempt attemptEnd
+	// told, if not nil, is closed once the successors know of a quarantine
+	// that the attempt led to, or do not answer.
+	told chan<- struct{}
 }
 
 // attemptEnd is what the poison tracker must know of an attempt.
@@ -232,10 +235,17 @@
 }
 
 func (m finishCommand) apply(c *controlLoop, now time.Time) {
-	if p := c.pools[m.service]; p != nil {
-		p.sched.Finish(now, m.id, m.result)
-		p.judge(now, m)
+	told := func() {}
+	if m.told != nil {
+		told = func() { close(m.told) }
+	}
+	p := c.pools[m.service]
+	if p == nil {
+		told()
+		return
 	}
+	p.sched.Finish(now, m.id, m.result)
+	p.judge(now, m, told)
 }
 
 // observeCommand reports the answer to a probe.
--- a/node/servicepool_test.go
+++ b/node/servicepool_test.go
@@ -18,7 +18,7 @@
 	events []event.Event
 }
 
-func (r *recorder) spreadQuarantine(poison.Entry) {}
+func (r *recorder) spreadQuarantine(poison.Entry, func()) {}
 
 func (r *recorder) Emit(e event.Event) { r.events = append(r.events, e) }
 
