--- a/node/scale_test.go
+++ b/node/scale_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -143,3 +144,49 @@
 	c.Assert(syscall.Getrusage(syscall.RUSAGE_SELF, &u), qt.IsNil)
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkIdleConnection reports the memory that a node spends on a caller or
+// peer that keeps a connection open after a request. The caller's share, a
+// bare connection, is counted too.
+func BenchmarkIdleConnection(b *testing.B) {
+	c := qt.New(b)
+	cfg, problems := dynamic.Parse("test.ini", []byte("[service larder]\n"))
+	c.Assert(problems, qt.HasLen, 0)
+	node := runPair(c, cfg)[0]
+	for _, n := range []int{200, 800, 3200} {
+		b.Run(fmt.Sprintf("connections=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := memoryInUse()
+				conns := idleConnections(qt.New(b), node.CallerAddress().String(), n)
+				b.ReportMetric((memoryInUse()-before)/float64(n), "B/connection")
+				for _, conn := range conns {
+					_ = conn.Close()
+				}
+			}
+		})
+	}
+}
+
+// idleConnections opens connections and has each carry one request.
+func idleConnections(c *qt.C, addr string, n int) []net.Conn {
+	answer := make([]byte, 1<<10)
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		var err error
+		conns[i], err = net.Dial("tcp", addr)
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conns[i], "GET /none HTTP/1.1\r\nHost: gate\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		_, err = conns[i].Read(answer)
+		c.Assert(err, qt.IsNil)
+	}
+	return conns
+}
+
+// memoryInUse returns the bytes of heap and stacks after a collection.
+func memoryInUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
