--- a/once/memory.go
+++ b/once/memory.go
@@ -1,6 +1,10 @@
 package once
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // state is how far a key is.
 type state uint8
@@ -111,6 +115,9 @@
 // adoptRecord takes over one record of a copy.
 func (h *Home) adoptRecord(now time.Time, r Record) {
 	old := h.entries[r.Key]
+	if h.gaveUp(r, old) {
+		return
+	}
 	if old != nil && (old.state == stateRunning || !r.Claim.after(old.claim) && !r.Done) {
 		return
 	}
@@ -125,6 +132,13 @@
 	}
 }
 
+// gaveUp reports whether the record is of a claim that this home itself made
+// and never dispatched: it remembers all that it dispatched.
+func (h *Home) gaveUp(r Record, known *entry) bool {
+	own := h.held[r.Claim.Epoch]
+	return own && !r.Done && (known == nil || known.claim != r.Claim)
+}
+
 // snapshot returns what a new witness must know.
 func (h *Home) snapshot(now time.Time) Copy {
 	h.sweep(now)
@@ -138,9 +152,24 @@
 		}
 		c.Records = append(c.Records, e.record(now, h.cfg.Retention))
 	}
+	limitAnswers(c.Records, h.cfg.MaxCopyAnswersBytes)
 	return c
 }
 
+// limitAnswers drops the answers that exceed the limit, the oldest first.
+func limitAnswers(records []Record, limit int) {
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.Key, b.Key))
+	})
+	size := 0
+	for i := range records {
+		size += records[i].Answer.Size()
+		if size > limit {
+			records[i].Answer = nil
+		}
+	}
+}
+
 // record returns what a witness must know of the entry.
 func (e *entry) record(now time.Time, retention time.Duration) Record {
 	r := Record{Key: e.key, Digest: e.digest, Claim: e.claim, Done: e.state == stateDone, Answer: e.answer}
