--- a/pool/caller.go
+++ b/pool/caller.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -10,6 +11,8 @@
 	seen map[string]time.Time
 	// running counts the slots that each caller holds.
 	running map[string]int
+	// cleared is when those not seen lately were last forgotten.
+	cleared time.Time
 }
 
 // began notes that the caller took a slot.
@@ -39,18 +42,23 @@
 	c.seen[caller] = now
 }
 
+// forget drops callers that sent no request lately.
+func (c *callers) forget(now time.Time) {
+	if now.Sub(c.cleared) < callerActive {
+		return
+	}
+	c.cleared = now
+	maps.DeleteFunc(c.seen, func(_ string, at time.Time) bool { return now.Sub(at) > callerActive })
+}
+
 // others says whether another caller sent a request lately.
 func (c *callers) others(now time.Time, caller string) bool {
-	other := false
 	for name, at := range c.seen {
-		switch {
-		case now.Sub(at) > callerActive:
-			delete(c.seen, name)
-		case name != caller:
-			other = true
+		if name != caller && now.Sub(at) <= callerActive {
+			return true
 		}
 	}
-	return other
+	return false
 }
 
 // callerHoldsShare says whether a's caller has as much waiting as it may have
--- a/pool/decisions_test.go
+++ b/pool/decisions_test.go
@@ -226,3 +226,15 @@
 	h.Submit(now, Request{ID: 5, Route: "r", Deadline: now.Add(time.Second)})
 	c.Assert(r.started[5], qt.Not(qt.Equals), r.started[1])
 }
+
+func TestCallersAreForgotten(t *testing.T) {
+	h, _ := newTestHome(Config{})
+	for id := RequestID(1); id <= 100; id++ {
+		h.Submit(epoch, Request{ID: id, Caller: string(rune('a' + id)), Deadline: epoch.Add(time.Second)})
+		h.Finish(epoch, id, Result{Verdict: VerdictAnswered})
+	}
+	qt.Assert(t, h.callers.seen, qt.HasLen, 100)
+	h.Tick(epoch.Add(2 * callerActive))
+	qt.Assert(t, h.callers.seen, qt.HasLen, 0)
+	qt.Assert(t, h.callers.running, qt.HasLen, 0)
+}
--- a/pool/home.go
+++ b/pool/home.go
@@ -193,6 +193,7 @@
 
 func (h *home) Tick(now time.Time) {
 	h.ticked = now
+	h.callers.forget(now)
 	h.examineRunning(now)
 	h.correctRunning(now)
 	h.correctWaiting(now)
--- a/pool/long.go
+++ b/pool/long.go
@@ -21,8 +21,6 @@
 	longKnown = 3
 	// loadHalfLife is the time in which the memory of the short load fades by half.
 	loadHalfLife = 2 * time.Second
-	// waitQuantile is the share of short attempts whose wait is guarded.
-	waitQuantile = 0.99
 	// waitRatio is how many times longer long work may make that wait.
 	waitRatio = 1.8
 )
@@ -286,27 +284,6 @@
 	return running == 0 && now.Sub(a.submitted) >= h.cfg.LongWait && now.Sub(h.work.longEnded) >= h.cfg.LongWait
 }
 
-// quantileWait returns the waitQuantile of the wait for one of the slots, in
-// mean service times, when random arrivals keep load slots busy.
-func quantileWait(slots int, load float64) float64 {
-	free := float64(slots) - load
-	if free <= 0 {
-		return math.Inf(1)
-	}
-	return max(0, math.Log(waitProbability(slots, load)/(1-waitQuantile))/free)
-}
-
-// waitProbability returns the Erlang C formula: the probability that an
-// arrival finds all slots busy.
-func waitProbability(slots int, load float64) float64 {
-	blocked := 1.0
-	for n := 1; n <= slots; n++ {
-		blocked = load * blocked / (float64(n) + load*blocked)
-	}
-	free := 1 - load/float64(slots)
-	return blocked / (free + (1-free)*blocked)
-}
-
 // mostPacked returns the fit target that already runs the most long work, so
 // that the others stay free of it.
 func (h *home) mostPacked(now time.Time, a *attempt, fit func(*target) bool) *target {
--- /dev/null
+++ b/pool/peers.go
@@ -0,0 +1,239 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// priorWeight is the number of exchanges that the assumed frequencies
+	// count for before a route's own are known.
+	priorWeight = 20
+	// runPriorWeight is the same for the frequencies within one run.
+	runPriorWeight = 20
+	// recent is the time over which the latest samples of each peer count in
+	// any case, and latest their number.
+	recent = 5 * time.Second
+	latest = 4
+	// slowRatioMin is how many times slower than its peers in the same window
+	// a target must be to be found slow.
+	slowRatioMin = 2
+	// failedRatioMin is the same for the share of failures.
+	failedRatioMin = 2
+	// peersTrimmed is the share of the worst peers left out of a comparison.
+	peersTrimmed = 0.25
+	// trimSamples is the least number of samples of each peer for that.
+	trimSamples = 4
+)
+
+// frequencies are the probabilities of the categories.
+type frequencies [numCategories]float64
+
+// assumed are the frequencies before anything was seen.
+var assumed = frequencies{0, 0, 0.45, 0.25, 0.15, 0.10, 0.04, 0.005, 0.01}
+
+// least bounds the frequencies of a healthy target from below.
+var least = frequencies{0, 0.05, 0.05, 0.05, 0.05, 0.02, 0.006, 0.001, 0.001}
+
+// standsOut says whether the run is several times worse than what peers showed
+// in the same window; likelihoods alone call small differences certain once
+// there are many samples.
+func (h *home) standsOut(now time.Time, t *target, run []sample, within map[*route]frequencies, alt alternative) bool {
+	if !alt.failing {
+		return medianRatio(run) >= slowRatioMin*h.peersRatio(t, run)
+	}
+	expected := 0.0
+	for _, s := range run {
+		expected += within[s.route][categoryFailed] + within[s.route][categoryHung]
+	}
+	expected = max(expected, h.peersFailing(now, t)*float64(len(run)))
+	return float64(failures(run)) >= failedRatioMin*expected
+}
+
+// peersFailing returns the share of failures among the latest samples of t's peers.
+func (h *home) peersFailing(now time.Time, t *target) float64 {
+	failed, total := 0, 0
+	for _, peer := range h.order {
+		if peer == t {
+			continue
+		}
+		window := peer.latestSamples(now)
+		failed += failures(window)
+		total += len(window)
+	}
+	return float64(failed) / float64(max(1, total))
+}
+
+// latestSamples returns the few latest samples of t that are recent.
+func (t *target) latestSamples(now time.Time) []sample {
+	window := t.samplesSince(now.Add(-recent))
+	return window[max(0, len(window)-latest):]
+}
+
+// usualOf returns, for each route of the samples, the frequencies that t's
+// peers have shown over the last tallyHalfLife or so.
+func (h *home) usualOf(now time.Time, t *target, samples []sample) map[*route]frequencies {
+	usual := make(map[*route]frequencies)
+	for _, s := range samples {
+		if _, done := usual[s.route]; !done {
+			usual[s.route] = h.usual(now, s.route, t)
+		}
+	}
+	return usual
+}
+
+// usual returns the frequencies on r without those of t.
+func (h *home) usual(now time.Time, r *route, t *target) frequencies {
+	var sum frequencies
+	total := 0.0
+	for _, peer := range h.order {
+		seen := r.seen[peer]
+		if peer == t || seen == nil {
+			continue
+		}
+		seen.fade(now)
+		for c := range sum {
+			sum[c] += seen.counts[c]
+		}
+		total += seen.total
+	}
+	return blend(sum, total, assumed, priorWeight)
+}
+
+// blend mixes counted categories with prior frequencies of the given weight.
+func blend(sum frequencies, total float64, prior frequencies, weight float64) frequencies {
+	var q frequencies
+	for c := range q {
+		q[c] = max(least[c], (sum[c]+weight*prior[c])/(total+weight))
+	}
+	return q
+}
+
+// usualLately returns the usual frequencies on r, or those that t's peers
+// showed lately where these are worse.
+func (h *home) usualLately(now time.Time, t *target, r *route) frequencies {
+	q := h.usual(now, r, t)
+	sum, total := h.countPeers(t, r, func(peer *target) []sample { return peer.latestSamples(now) })
+	return worse(q, blend(sum, total, q, runPriorWeight))
+}
+
+// usualWithin returns the frequencies that t's peers showed since the run
+// began, never milder than usual, and the number of their samples.
+func (h *home) usualWithin(now time.Time, t *target, run []sample, usual map[*route]frequencies) (map[*route]frequencies, int) {
+	within := make(map[*route]frequencies, len(usual))
+	since := began(run)
+	seen := 0
+	for r, q := range usual {
+		sum, total := h.countPeers(t, r, func(peer *target) []sample { return peer.samplesSince(since) })
+		seen += int(total)
+		lately := worse(q, h.usualLately(now, t, r))
+		within[r] = worse(lately, blend(sum, total, q, runPriorWeight))
+	}
+	return within, seen
+}
+
+// worse returns q with the frequencies that speak against a target raised to
+// those of other.
+func worse(q, other frequencies) frequencies {
+	for c := categoryTail; c < numCategories; c++ {
+		q[c] = max(q[c], other[c])
+	}
+	return q
+}
+
+// began returns when the first attempt of the run started.
+func began(run []sample) time.Time {
+	first := run[0].began
+	for _, s := range run {
+		if s.began.Before(first) {
+			first = s.began
+		}
+	}
+	return first
+}
+
+// medianRatio returns the median of the samples' latencies in multiples of
+// what is usual on their routes.
+func medianRatio(samples []sample) float64 {
+	var ratios []float64
+	for _, s := range samples {
+		if !s.failed() && s.route.known() {
+			ratios = append(ratios, s.ratio())
+		}
+	}
+	if len(ratios) == 0 {
+		return 1
+	}
+	slices.Sort(ratios)
+	return ratios[len(ratios)/2]
+}
+
+// peersRatio returns the median latency of t's peers since the run began, in
+// multiples of what is usual on their routes.
+func (h *home) peersRatio(t *target, run []sample) float64 {
+	var window []sample
+	since := began(run)
+	for _, peer := range h.order {
+		if peer != t {
+			window = append(window, peer.samplesSince(since)...)
+		}
+	}
+	return medianRatio(window)
+}
+
+// countPeers counts the samples on r in the windows of t's peers, without the
+// worst peers where each has shown enough.
+func (h *home) countPeers(t *target, r *route, window func(peer *target) []sample) (frequencies, float64) {
+	var peers []peerCount
+	trim := true
+	for _, peer := range h.order {
+		p := countSamples(window(peer), r)
+		if peer == t || p.total == 0 {
+			continue
+		}
+		trim = trim && p.total >= trimSamples
+		peers = append(peers, p)
+	}
+	if trim {
+		peers = withoutWorst(peers)
+	}
+	var sum frequencies
+	total := 0.0
+	for _, p := range peers {
+		for c := range sum {
+			sum[c] += p.counts[c]
+		}
+		total += p.total
+	}
+	return sum, total
+}
+
+// peerCount counts what one peer showed in a window.
+type peerCount struct {
+	counts     frequencies
+	total, bad float64
+}
+
+func countSamples(samples []sample, r *route) peerCount {
+	var p peerCount
+	for _, s := range samples {
+		if s.route != r {
+			continue
+		}
+		p.counts[s.category]++
+		p.total++
+		if s.category >= categoryExtreme {
+			p.bad++
+		}
+	}
+	return p
+}
+
+// withoutWorst leaves out the peers with the largest shares of bad samples.
+func withoutWorst(peers []peerCount) []peerCount {
+	slices.SortStableFunc(peers, func(a, b peerCount) int {
+		return cmp.Compare(a.bad/a.total, b.bad/b.total)
+	})
+	return peers[:len(peers)-int(peersTrimmed*float64(len(peers)))]
+}
