pool: hung attempts weigh less while peers are slow themselves

Change: hung attempts count twice only while peers are not slowed; the case is one of the measured ones.

--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -26,6 +26,9 @@
 	// hung one on a route whose share of hung ones is at most hungRare.
 	lostWeight = 2
 	hungRare   = 0.002
+	// commonRatio is how many times slower than usual peers are when the cause
+	// of hung attempts may be common.
+	commonRatio = 1.5
 	// answeredMin is the least share of answers that is reckoned with.
 	answeredMin = 0.01
 )
@@ -107,7 +110,8 @@
 	f := finding{alone: alone, samples: len(run), rule: ruleOf(run, alt)}
 	f.failures = failures(run)
 	f.latency, f.peer = latencies(run)
-	f.thin = alt.failing && failureWeight(run, usual) < t.failuresNeeded(now)
+	peersSlowed := h.peersRatio(t, run) >= commonRatio
+	f.thin = alt.failing && failureWeight(run, usual, peersSlowed) < t.failuresNeeded(now)
 	within, peers := h.usualWithin(now, t, run, usual)
 	if peers < runPeersMin {
 		return f
@@ -170,14 +174,15 @@
 	return n
 }
 
-// failureWeight returns the failures with lost attempts counting for more.
-func failureWeight(run []sample, usual map[*route]frequencies) int {
+// failureWeight returns the failures with lost attempts counting for more; hung
+// ones do not while peers are slower than usual themselves.
+func failureWeight(run []sample, usual map[*route]frequencies, peersSlowed bool) int {
 	n := 0
 	for _, s := range run {
 		switch {
 		case !s.failed():
 		case s.verdict == VerdictUnreachable,
-			s.category == categoryHung && usual[s.route][categoryHung] <= hungRare:
+			s.category == categoryHung && !peersSlowed && usual[s.route][categoryHung] <= hungRare:
 			n += lostWeight
 		default:
 			n++
--- a/pool/measure_test.go
+++ b/pool/measure_test.go
@@ -40,6 +40,11 @@
 	return drive.Load{Route: "records", Rate: rate, To: to, Work: 4 * time.Second, Timeout: time.Minute}
 }
 
+// tailed is work whose service times have a long tail.
+func tailed(rate float64, to time.Duration) drive.Load {
+	return drive.Load{Route: "tailed", Rate: rate, To: to, Work: 60 * msecond, Sigma: 1, Timeout: 3 * time.Second}
+}
+
 func noise() drive.Condition {
 	return drive.Condition{Target: "*", Kind: drive.KindFailing, Value: 0.002}
 }
@@ -198,6 +203,7 @@
 		{"busy", nil, []drive.Load{status(50, 0, span), lookup(50, 0, span)}},
 		{"common slowness, quiet", []drive.Condition{slow}, []drive.Load{status(8, 0, span), lookup(8, 0, span)}},
 		{"common slowness, busy", []drive.Condition{slow}, []drive.Load{status(50, 0, span), lookup(50, 0, span)}},
+		{"common slowness, long tails", []drive.Condition{slow}, []drive.Load{tailed(100, span)}},
 		{"common hanging", []drive.Condition{hang}, []drive.Load{status(50, 0, span), lookup(50, 0, span)}},
 		{"long work", nil, []drive.Load{status(20, 0, span), records(2.2, span)}},
 		{"crest", nil, []drive.Load{
@@ -217,7 +223,7 @@
 			for _, rep := range overSeeds(build, v.opts) {
 				falses += rep.FalseEjections()
 			}
-			t.Logf("%-24s %-6s false ejections %d over %d seeds", tc.desc, v.name, falses, seeds)
+			t.Logf("%-28s %-6s false ejections %d over %d seeds", tc.desc, v.name, falses, seeds)
 			if v.name == "home" {
 				qt.Check(t, falses, qt.Equals, 0, qt.Commentf(tc.desc))
 			}
