once: a replaced home names the new one and the claims that it gave up

Change: a home that was replaced gives back requests with the holder's name and its given-up claim; entry nodes ask that node next; a refusal for want of a place is confirmed by the witnesses first.

--- a/node/combine_test.go
+++ b/node/combine_test.go
@@ -40,3 +40,35 @@
 		})
 	}
 }
+
+func TestAfterHop(t *testing.T) {
+	noHome := refused(outcome.ReasonNoHome, "")
+	back := refused(outcome.ReasonHomeLost, "another node is the home now")
+	back.handedBack = true
+	lost := refused(outcome.ReasonHomeLost, "the connection ended")
+	full := refused(outcome.ReasonQueueFull, "")
+	answered := refused(outcome.ReasonAnswered, "")
+	for _, test := range []struct {
+		desc string
+		hops []result
+		want outcome.Reason
+		back bool
+	}{
+		{"handed back by all", []result{back, back}, outcome.ReasonHomeLost, true},
+		{"handed back, then answered", []result{back, answered}, outcome.ReasonAnswered, false},
+		{"handed back, then not run", []result{back, full}, outcome.ReasonQueueFull, false},
+		{"lost, then handed back", []result{lost, back}, outcome.ReasonHomeLost, false},
+		{"lost, handed back, then not run", []result{lost, back, full}, outcome.ReasonHomeLost, false},
+		{"handed back, lost, then not run", []result{back, lost, full}, outcome.ReasonHomeLost, false},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			last := noHome
+			for _, res := range test.hops {
+				res.settle = func(error) {}
+				last = afterHop(last, res)
+			}
+			qt.Assert(t, last.outcome.Reason, qt.Equals, test.want)
+			qt.Assert(t, last.handedBack, qt.Equals, test.back)
+		})
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -132,6 +132,7 @@
 		deadline:   time.Now().Add(time.Duration(left) * time.Millisecond),
 		onward:     onwardRequest(h),
 	}
+	r.gaveUp = parseGaveUp(h.Peek(hopGaveUp))
 	if err := r.setKey(h); err != nil {
 		return nil, refused(outcome.ReasonBadRequest, err.Error())
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -21,35 +21,81 @@
 // maxHomes is the number of ranks that an entry node tries for one request.
 const maxHomes = 3
 
+// maxRedirects is the number of nodes beside them that homes may name in their
+// place.
+const maxRedirects = 2
+
 // serve runs a request here or at its service's home.
 func (n *Node) serve(ctx context.Context, r *request) result {
 	if r.service.Variant == dynamic.VariantDirect && r.key == "" {
 		return n.runHere(ctx, r)
 	}
 	last := refused(outcome.ReasonNoHome, "")
-	for _, m := range n.homes(r.service.Name) {
-		if m.Name() == n.settings.Name {
-			last = combine(last, n.runAtHome(ctx, r))
-			if !r.declined(last.outcome.Reason) {
-				return last
-			}
+	next := n.homes(r.service.Name)
+	tried := make(map[string]bool)
+	for len(next) > 0 && len(tried) < maxHomes+maxRedirects {
+		m := next[0]
+		next = next[1:]
+		if tried[m.Name()] {
 			continue
 		}
-		res, next := n.forward(ctx, r, m)
-		res = combine(last, res)
-		if !next {
-			return res
+		tried[m.Name()] = true
+		res, again := n.serveAt(ctx, r, m)
+		last = afterHop(last, res)
+		if !again {
+			return last
+		}
+		last.settled(nil)
+		r.gaveUp = res.gaveUp
+		n.emitFailover(r, m, res)
+		if to, ok := n.redirected(ctx, res); ok {
+			next = append([]fleet.Member{to}, next...)
 		}
-		res.settled(nil)
-		last = res
-		n.Emit(event.Event{
-			Time: time.Now(), Kind: event.KindFailover, Service: r.service.Name, Request: r.id,
-			Rule: string(res.outcome.Reason), From: m.Name(), Evidence: event.Evidence{Detail: res.outcome.Detail},
-		})
 	}
 	return last
 }
 
+// serveAt has one node, which may be this one, run a request as its home. It
+// reports true if another may be tried.
+func (n *Node) serveAt(ctx context.Context, r *request, m fleet.Member) (result, bool) {
+	if m.Name() != n.settings.Name {
+		return n.forward(ctx, r, m)
+	}
+	res := n.runAtHome(ctx, r)
+	return res, r.declined(res)
+}
+
+// afterHop returns what a caller is told after one more hop. A node that gave
+// the request back did not run it, and says nothing of other hops.
+func afterHop(last, res result) result {
+	if res.handedBack && last.outcome.Reason != outcome.ReasonNoHome {
+		res.settled(nil)
+		return last
+	}
+	if last.handedBack {
+		return res
+	}
+	return combine(last, res)
+}
+
+// redirected returns the node that a home named in its place.
+func (n *Node) redirected(ctx context.Context, res result) (fleet.Member, bool) {
+	if res.home == "" {
+		return fleet.Member{}, false
+	}
+	peer, err := n.peerNamed(ctx, res.home)
+	return fleet.Member{Peer: peer}, err == nil
+}
+
+// emitFailover records that this node went past a home.
+func (n *Node) emitFailover(r *request, m fleet.Member, res result) {
+	n.Emit(event.Event{
+		Time: time.Now(), Kind: event.KindFailover, Service: r.service.Name, Request: r.id,
+		Rule: string(res.outcome.Reason), From: m.Name(), To: res.home,
+		Evidence: event.Evidence{Detail: res.outcome.Detail},
+	})
+}
+
 // forward sends a request to a home. It reports true if the next rank may be
 // tried: because the request was not run, or because it may be run again.
 func (n *Node) forward(ctx context.Context, r *request, m fleet.Member) (result, bool) {
@@ -76,19 +122,18 @@
 	if res.outcome.Reason == outcome.ReasonShutdown {
 		n.suspect(m.Name())
 	}
-	return res, r.declined(res.outcome.Reason)
+	return res, r.declined(res)
 }
 
 // declined reports whether a home gave the request back for another to serve:
-// it is shutting down, or has no configuration with the route yet.
-func (r *request) declined(reason outcome.Reason) bool {
-	switch reason {
-	case outcome.ReasonShutdown, outcome.ReasonNoRoute:
-		return r.body.replayable()
-	case outcome.ReasonHomeLost:
+// it is shutting down, has no configuration with the route yet, or is not the
+// home any more.
+func (r *request) declined(res result) bool {
+	if res.handedBack {
 		return r.resendableToHome()
 	}
-	return false
+	reason := res.outcome.Reason
+	return (reason == outcome.ReasonShutdown || reason == outcome.ReasonNoRoute) && r.body.replayable()
 }
 
 // forwardFailed says what became of a request whose hop to the home failed.
@@ -114,12 +159,17 @@
 // hopResult reads the answer of a home.
 func hopResult(ans *exchange.Answer, body *answerBody, release context.CancelFunc) result {
 	h := &ans.Response.Header
-	o, _ := outcome.Parse(
+	o, err := outcome.Parse(
 		string(h.Peek(outcome.Header)),
 		string(h.Peek(outcome.ReasonHeader)),
 		string(h.Peek(headerRetryAfter)),
 	)
 	res := result{outcome: o, settle: func(error) { _ = ans.Body.Close(); release() }}
+	if err == nil && o.Reason == outcome.ReasonHomeLost {
+		res.handedBack = true
+		res.home = string(h.Peek(hopHome))
+		res.gaveUp = parseGaveUp(h.Peek(hopGaveUp))
+	}
 	if o.Kind == outcome.Run {
 		res.response = ans.Response
 		res.body = body
@@ -133,6 +183,8 @@
 	h.Set(hopRoute, r.route.Name)
 	h.Set(hopCaller, r.caller)
 	h.Set(hopNode, n.settings.Name)
+	h.Del(hopGaveUp)
+	setGaveUp(h.Set, r.gaveUp)
 	h.Set(hopTimeLeft, strconv.FormatInt(r.timeLeft(time.Now()), 10))
 	h.Set(headerRequestID, r.id)
 	h.Set(hopSignature, hopDigest(n.settings.SharedKey, h))
@@ -144,7 +196,7 @@
 	mac.Write(h.Method())
 	mac.Write([]byte{'\n'})
 	mac.Write(h.RequestURI())
-	for _, name := range []string{hopRoute, hopCaller, hopNode, hopTimeLeft, headerRequestID} {
+	for _, name := range []string{hopRoute, hopCaller, hopNode, hopTimeLeft, hopGaveUp, headerRequestID} {
 		mac.Write([]byte{'\n'})
 		mac.Write(h.Peek(name))
 	}
--- a/node/headers.go
+++ b/node/headers.go
@@ -38,6 +38,11 @@
 	hopTimeLeft  = hopPrefix + "Time-Left-Ms"
 	hopNode      = hopPrefix + "Node"
 	hopSignature = hopPrefix + "Signature"
+	// hopHome is in the answer of a node that is not the home any more.
+	hopHome = hopPrefix + "Home"
+	// hopGaveUp is the claim of the request that an earlier home gave up, as
+	// epoch and sequence.
+	hopGaveUp = hopPrefix + "Gave-Up"
 )
 
 // hopByHop lists the headers that concern one connection only (RFC 9110, 7.6.1).
@@ -121,6 +126,8 @@
 	h.Del(exchange.AttemptHeader)
 	h.Del(outcome.ReasonHeader)
 	h.Del(outcome.Header)
+	h.Del(hopHome)
+	h.Del(hopGaveUp)
 	h.SetConnectionClose(false)
 }
 
--- a/node/idempotencykey.go
+++ b/node/idempotencykey.go
@@ -54,6 +54,27 @@
 	return nil
 }
 
+// setGaveUp writes a claim that was given up, if there is one.
+func setGaveUp(set func(name, value string), c once.Claim) {
+	if c != (once.Claim{}) {
+		set(hopGaveUp, strconv.FormatUint(uint64(c.Epoch), 10)+"."+strconv.FormatUint(c.Sequence, 10))
+	}
+}
+
+// parseGaveUp reads what setGaveUp wrote; anything else is no claim.
+func parseGaveUp(value []byte) once.Claim {
+	epoch, sequence, _ := strings.Cut(string(value), ".")
+	e, err := strconv.ParseUint(epoch, 10, 64)
+	if err != nil {
+		return once.Claim{}
+	}
+	s, err := strconv.ParseUint(sequence, 10, 64)
+	if err != nil {
+		return once.Claim{}
+	}
+	return once.Claim{Epoch: once.Epoch(e), Sequence: s}
+}
+
 // askedFor returns the digest of what a keyed request asks for. Of a body too
 // large to hold it covers the start and the length.
 func (r *request) askedFor() once.Digest {
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -30,7 +30,7 @@
 // runKeyed claims the request's key and runs it, or answers with what became
 // of an earlier request with the same key.
 func (n *Node) runKeyed(ctx context.Context, r *request) result {
-	claim := once.Request{ID: once.RequestID(n.lastID.Add(1)), Key: r.key, Digest: r.askedFor()}
+	claim := once.Request{ID: once.RequestID(n.lastID.Add(1)), Key: r.key, Digest: r.askedFor(), GaveUp: r.gaveUp}
 	verdicts := make(chan claimVerdict, maxVerdicts)
 	if !n.control.send(claimCommand{service: r.service.Name, request: claim, reply: verdicts}) {
 		return refused(outcome.ReasonEarlierUnknown, "the node has stopped")
@@ -47,10 +47,7 @@
 		case v := <-verdicts:
 			switch {
 			case v.admit:
-				var res result
-				if p, res = n.placeClaim(ctx, r, claim, verdicts); p == nil {
-					return res
-				}
+				p = n.placeClaim(ctx, r, claim)
 			case v.dispatch:
 				return n.runClaimed(ctx, r, claim.ID, p)
 			default:
@@ -68,19 +65,18 @@
 	}
 }
 
-// placeClaim waits for a slot and tells the Home. It returns nil and the
-// answer if there is none.
-func (n *Node) placeClaim(ctx context.Context, r *request, claim once.Request, verdicts <-chan claimVerdict) (*place, result) {
+// placeClaim waits for a slot and tells the Home, whose next verdict follows.
+// It returns nil if there is no slot. A context that has ended ends the wait
+// for the verdict too.
+func (n *Node) placeClaim(ctx context.Context, r *request, claim once.Request) *place {
 	p, res := n.place(ctx, r, nil)
 	switch {
 	case p != nil:
 		n.control.send(admittedCommand{service: r.service.Name, request: claim})
-	case res.outcome.Kind == outcome.NotRun:
+	case res.outcome.Kind == outcome.NotRun && ctx.Err() == nil:
 		n.control.send(notAdmittedCommand{service: r.service.Name, request: claim, result: once.Result{Outcome: res.outcome}})
-	default:
-		n.control.send(withdrawCommand{service: r.service.Name, request: claim, reply: verdicts})
 	}
-	return p, res
+	return p
 }
 
 // abandonPlace frees the slot of a request that is not dispatched, if it has one.
@@ -162,7 +158,7 @@
 
 // replay makes the answer to a repeated request.
 func replay(r once.Result) result {
-	res := result{outcome: r.Outcome}
+	res := result{outcome: r.Outcome, home: r.Home, gaveUp: r.GaveUp, handedBack: r.Outcome.Reason == outcome.ReasonHomeLost}
 	if r.Answer == nil {
 		return res
 	}
--- a/node/onceservice.go
+++ b/node/onceservice.go
@@ -43,7 +43,8 @@
 	telling *sync.WaitGroup
 }
 
-// maxVerdicts is the most verdicts on one claim: to find a place, and the last.
+// maxVerdicts is the most verdicts on one claim that are not read yet: to find
+// a place, and the last.
 const maxVerdicts = 2
 
 // claimVerdict answers a claim: the request is to find a place, may be
@@ -219,9 +220,7 @@
 }
 
 func (m notAdmittedCommand) apply(c *controlLoop, now time.Time) {
-	s := c.onceHome(m.service, now)
-	delete(s.waiting, m.request.ID)
-	s.home.Refused(m.request, m.result)
+	c.onceHome(m.service, now).home.Refused(now, m.request, m.result)
 }
 
 // notDispatched is the end of a claim whose request was never sent, for those
--- a/node/request.go
+++ b/node/request.go
@@ -23,6 +23,8 @@
 	body       *requestBody
 	// key is set if the request may be run once only and its caller named it.
 	key once.Key
+	// gaveUp is a claim of the key that an earlier home made and gave up.
+	gaveUp once.Claim
 }
 
 // result is what became of a request at this node. Answer is set if a target
@@ -31,6 +33,12 @@
 	outcome  outcome.Outcome
 	response *protocol.Response
 	body     *answerBody
+	// handedBack says that a home did not run the request and is not its home
+	// any more; home is the node to ask in its place, if that is known.
+	handedBack bool
+	home       string
+	// gaveUp is the claim that the home gave up.
+	gaveUp once.Claim
 	// unsent says that no byte of the request went to a target.
 	unsent bool
 	// settle must be called once the answer was passed on, with the error that
--- a/node/respond.go
+++ b/node/respond.go
@@ -37,6 +37,10 @@
 	h.Set(headerRequestID, id)
 	if s == peerSide {
 		h.Set(outcome.ReasonHeader, string(res.outcome.Reason))
+		if res.home != "" {
+			h.Set(hopHome, res.home)
+		}
+		setGaveUp(h.Set, res.gaveUp)
 		h.Set(exchange.AttemptHeader, string(ctx.Request.Header.Peek(exchange.AttemptHeader)))
 	}
 	if n.draining.Load() {
--- a/once/claim.go
+++ b/once/claim.go
@@ -67,8 +67,10 @@
 func (h *Home) abandon(e *entry) {
 	h.forget(e)
 	h.tell(Release{Key: e.key, Claim: e.claim})
-	h.pending = append(h.pending, e.owner)
-	h.pending = append(h.pending, e.followers...)
+	for _, w := range append([]waiter{e.owner}, e.followers...) {
+		w.GaveUp = e.claim
+		h.pending = append(h.pending, w)
+	}
 }
 
 // abandonClaims gives up all open claims.
@@ -83,8 +85,8 @@
 // distrust acts on a witness that did not record a claim or misses its
 // heartbeats: the home has been replaced, or the witness has to be.
 func (h *Home) distrust(now time.Time, a Ack, answered bool) {
-	if answered && a.Status == StatusSealed && a.Epoch > h.epoch {
-		h.seen = max(h.seen, a.Epoch)
+	if answered && a.Epoch > h.epoch {
+		h.note(a)
 		h.resign(now)
 		return
 	}
@@ -130,7 +132,9 @@
 // home had taken over since this one knew all keys.
 func (h *Home) giveUp(now time.Time, w waiter) {
 	if h.handsOver(now) {
-		h.refuse(w.ID, outcome.ReasonHomeLost, "another node is the home now")
+		r := h.handedOver()
+		r.GaveUp = w.GaveUp
+		h.delegate.Reply(w.ID, r)
 		return
 	}
 	unseen := h.complete && !w.arrived.Before(h.lostUntil)
--- a/once/fake_test.go
+++ b/once/fake_test.go
@@ -108,9 +108,14 @@
 
 // submit sends a request through a node.
 func (w *world) submit(name string, key once.Key, body byte) once.RequestID {
+	return w.submitAfter(name, key, body, once.Claim{})
+}
+
+// submitAfter sends a request that another home gave back with a claim.
+func (w *world) submitAfter(name string, key once.Key, body byte, gaveUp once.Claim) once.RequestID {
 	w.lastID++
 	a := ask{key: key, digest: once.Digest{body}}
-	r := once.Request{ID: w.lastID, Key: key, Digest: a.digest}
+	r := once.Request{ID: w.lastID, Key: key, Digest: a.digest, GaveUp: gaveUp}
 	w.sent[r.ID] = sending{ask: a, request: r, at: w.now, ran: w.dispatched[a], node: name}
 	w.nodes[name].home.Submit(w.now, r)
 	return r.ID
@@ -195,14 +200,9 @@
 			}
 		},
 		lose: func() {
-			if !waits() {
-				return
+			if waits() {
+				home.Refused(n.w.now, n.w.sent[id].request, ended(outcome.ReasonQueueFull))
 			}
-			s := n.w.sent[id]
-			r := ended(outcome.ReasonQueueFull)
-			s.answer = &r
-			n.w.sent[id] = s
-			home.Refused(s.request, r)
 		},
 	})
 }
--- a/once/home.go
+++ b/once/home.go
@@ -19,6 +19,9 @@
 	// Key and Digest say what is asked.
 	Key    Key
 	Digest Digest
+	// GaveUp is the claim that an earlier home made for this request and gave
+	// up, if there is one: it was not and will not be dispatched.
+	GaveUp Claim
 }
 
 // Result is the end of a dispatched request.
@@ -28,6 +31,11 @@
 	// Answer is the whole answer if Outcome is Run and the answer is not
 	// longer than MaxAnswerBytes; else nil.
 	Answer *Answer
+	// Home is the node to ask in place of this one, if it is known. This one
+	// did not dispatch the request and will not.
+	Home string
+	// GaveUp is to be given to that node with the request.
+	GaveUp Claim
 }
 
 // OpID ties an answer to what a Home asked of its Delegate.
@@ -89,6 +97,8 @@
 	retryAt     time.Time
 	heartbeatAt time.Time
 	improveAt   time.Time
+	// successor is the member that was last seen to hold the tenure.
+	successor Member
 	// yieldUntil is until when another home is believed to have taken over.
 	yieldUntil time.Time
 	sweepAt    time.Time
@@ -168,6 +178,10 @@
 	if e == nil {
 		return false
 	}
+	if e.state == stateUnknown && e.claim == r.GaveUp && !h.held[e.claim.Epoch] {
+		h.forget(e)
+		return false
+	}
 	switch {
 	case e.digest != r.Digest && e.state == stateClaiming:
 		return false
@@ -203,6 +217,11 @@
 func (h *Home) Cancel(now time.Time, r Request) {
 	h.pending = withoutWaiter(h.pending, r.ID)
 	h.leaveQueue(now, r)
+	for _, o := range h.ops {
+		if o.refusal != nil {
+			o.refusal.waiters = withoutWaiter(o.refusal.waiters, r.ID)
+		}
+	}
 	e := h.entries[r.Key]
 	if e == nil {
 		return
--- a/once/home_test.go
+++ b/once/home_test.go
@@ -91,6 +91,7 @@
 	repeat := w.submit("a", "new", 1)
 	c.Assert(w.nodes["b"].witness.Len(), qt.Equals, 1)
 	w.lose(0) // no place
+	w.settle()
 	c.Assert(w.answered(repeat), qt.Equals, outcome.ReasonQueueFull)
 
 	w.submit("a", "new", 1)
@@ -114,6 +115,16 @@
 	w.loseFor("b", "c") // the withdrawal of the claim too
 	w.advance(w.cfg.RetakeDelay)
 	c.Assert(w.answered(id), qt.Equals, outcome.ReasonHomeLost, qt.Commentf("d is the home now"))
+	result := w.sent[id].answer
+	c.Assert(result.Home, qt.Equals, "d")
+
+	blind := w.submit("d", "new", 1)
+	c.Assert(w.answered(blind), qt.Equals, outcome.ReasonEarlierUnknown)
+	told := w.submitAfter("d", "new", 1, result.GaveUp)
+	w.settle()
+	c.Assert(w.isRunning(told), qt.IsTrue, qt.Commentf("%s", w.answered(told)))
+	w.finish(told, ended(outcome.ReasonQueueFull))
+
 	again := w.submit("a", "new", 1)
 	w.settle()
 	c.Assert(w.isRunning(again), qt.IsTrue, qt.Commentf("%s", w.answered(again)))
@@ -436,3 +447,19 @@
 	w.nodes["a"].home.Cancel(w.now, w.sent[first].request) // it runs: no effect
 	w.finish(first, ran(1))
 }
+
+// TestRefusalByAReplacedHomeIsNoProof has a home that was replaced find no
+// place for a key that the new home has run.
+func TestRefusalByAReplacedHomeIsNoProof(t *testing.T) {
+	c := qt.New(t)
+	w, _ := newFleet(c)
+	elsewhere := w.submit("d", "new", 1)
+	w.settle()
+	c.Assert(w.isRunning(elsewhere), qt.IsTrue)
+
+	late := w.submit("a", "new", 1) // a has not noticed
+	w.lose(0)                       // no place
+	w.settle()
+	c.Assert(w.answered(late), qt.Equals, outcome.ReasonHomeLost)
+	c.Assert(w.sent[late].answer.Home, qt.Equals, "d")
+}
--- a/once/model_test.go
+++ b/once/model_test.go
@@ -51,6 +51,17 @@
 				}
 				w.submit(node.Draw(t, "node"), key, body)
 			},
+			"follow": func(t *rapid.T) {
+				if w.lastID == 0 {
+					t.Skip("nothing was sent")
+				}
+				id := once.RequestID(rapid.Uint64Range(1, uint64(w.lastID)).Draw(t, "request"))
+				s := w.sent[id]
+				if s.answer == nil || s.answer.Home == "" {
+					t.Skip("it was not handed on")
+				}
+				w.submitAfter(s.answer.Home, s.key, s.digest[0], s.answer.GaveUp)
+			},
 			"deliver":       deliver,
 			"deliver again": deliver,
 			"deliver some": func(t *rapid.T) {
--- a/once/op.go
+++ b/once/op.go
@@ -8,6 +8,7 @@
 const (
 	opIntent opKind = iota
 	opHeartbeat
+	opRefusal
 	opSeal
 	opDispatcher
 	opEnlist
@@ -27,6 +28,8 @@
 	// entry is set for an Intent, and member for other messages.
 	entry  *entry
 	member Member
+	// refusal is set for an Enlist that confirms one.
+	refusal *refusal
 	// tenure is what is written.
 	tenure Tenure
 }
@@ -86,6 +89,8 @@
 		h.recorded(now, o, a, answered)
 	case opHeartbeat:
 		h.heard(now, o, a, answered)
+	case opRefusal:
+		h.confirmRefusal(now, o, a, answered)
 	case opSeal:
 		h.sealed(now, a, answered)
 	case opDispatcher:
--- a/once/queue.go
+++ b/once/queue.go
@@ -35,7 +35,7 @@
 		panic("once: a request was admitted that does not wait for a place")
 	}
 	delete(h.queued, r.Key)
-	h.resume(now, waiter{Request: r, arrived: now, before: h.lastOp, admitted: true})
+	h.resume(now, waiter{Request: q.owner.Request, arrived: now, before: h.lastOp, admitted: true})
 	for _, w := range q.followers {
 		h.resume(now, w)
 	}
@@ -49,9 +49,18 @@
 	}
 }
 
-// Refused tells that a request got no place, and what its caller is told. Those
-// who waited behind it are told the same.
-func (h *Home) Refused(r Request, res Result) {
+// refusal is the end of a request that got no place, and of those who waited
+// behind it, while the witnesses are asked whether this home is still the one.
+type refusal struct {
+	result  Result
+	waiters []waiter
+	missing int
+}
+
+// Refused tells that a request got no place, and why. Its caller is told so,
+// and those who wait behind it, once the witnesses have shown that no other
+// home can have run the key; else they wait for the tenure.
+func (h *Home) Refused(now time.Time, r Request, res Result) {
 	q := h.queued[r.Key]
 	if q == nil || q.owner.ID != r.ID {
 		panic("once: a request was refused that does not wait for a place")
@@ -60,9 +69,67 @@
 		panic("once: a request that got no place may not have run")
 	}
 	delete(h.queued, r.Key)
-	for _, w := range q.followers {
+	end := &refusal{result: res, waiters: append([]waiter{q.owner}, q.followers...), missing: len(h.round.witnesses)}
+	if !h.active() {
+		h.takeBack(end)
+		h.Tick(now)
+		return
+	}
+	if end.missing == 0 {
+		h.endRefusal(end, res)
+		return
+	}
+	for _, member := range h.round.witnesses {
+		h.send(now, member, Enlist{}, op{kind: opRefusal, refusal: end})
+	}
+}
+
+// confirmRefusal notes a witness's answer on a refusal.
+func (h *Home) confirmRefusal(now time.Time, o op, a Ack, answered bool) {
+	end := o.refusal
+	if len(end.waiters) == 0 {
+		return
+	}
+	if !answered || a.Member != o.member || a.Epoch != h.epoch || a.Installed != h.epoch {
+		h.takeBack(end)
+		h.distrust(now, a, answered && a.Epoch > h.epoch)
+		return
+	}
+	end.missing--
+	if end.missing == 0 {
+		h.endRefusal(end, end.result)
+	}
+}
+
+// endRefusal answers all who wait for it.
+func (h *Home) endRefusal(end *refusal, res Result) {
+	for _, w := range end.waiters {
 		h.delegate.Reply(w.ID, res)
 	}
+	end.waiters = nil
+}
+
+// takeBack has those whose refusal was not confirmed wait for the tenure.
+func (h *Home) takeBack(end *refusal) {
+	h.pending = append(h.pending, end.waiters...)
+	end.waiters = nil
+}
+
+// endRefusals takes back all refusals that are not confirmed yet.
+func (h *Home) endRefusals() {
+	for _, o := range h.ops {
+		if o.refusal != nil {
+			h.takeBack(o.refusal)
+		}
+	}
+}
+
+// handedOver is the end of a request that another home has to serve.
+func (h *Home) handedOver() Result {
+	return Result{
+		Outcome: outcome.New(outcome.ReasonHomeLost, "another node is the home now", 0),
+		Home:    h.successor.Name,
+	}
 }
 
 // leaveQueue withdraws a request that waits for a place; the next one with the
--- a/once/takeover.go
+++ b/once/takeover.go
@@ -48,6 +48,7 @@
 func (h *Home) stop(now time.Time, wait time.Duration) {
 	h.fire(triggerStop)
 	h.abandonClaims()
+	h.endRefusals()
 	clear(h.ops)
 	clear(h.missed)
 	h.retryAt = later(h.retryAt, now.Add(wait))
@@ -70,6 +71,7 @@
 		return
 	}
 	if h.active() && !mine {
+		h.successor = t.Holder
 		h.resign(now)
 		return
 	}
@@ -84,6 +86,7 @@
 	}
 	h.fire(triggerRead)
 	h.abandonClaims()
+	h.endRefusals()
 	clear(h.ops)
 	h.round.record = t
 	h.round.revision = revision
@@ -100,7 +103,10 @@
 // note takes note of the epoch that a witness has seen. It reports whether
 // this home's epoch is not the latest.
 func (h *Home) note(a Ack) bool {
-	h.seen = max(h.seen, a.Epoch)
+	if a.Epoch > h.seen {
+		h.seen = a.Epoch
+		h.successor = a.Holder
+	}
 	if a.Epoch == h.epoch && a.Holder != h.self {
 		h.contradicted = true
 	}
--- a/once/tick.go
+++ b/once/tick.go
@@ -93,7 +93,7 @@
 	h.missed[o.member] = 0
 	switch {
 	case a.Epoch > h.epoch:
-		h.seen = max(h.seen, a.Epoch)
+		h.note(a)
 		h.resign(now)
 	case a.Member != o.member || a.Installed != h.epoch || a.Leaving:
 		h.doubt = true
