--- a/measure/table.go
+++ b/measure/table.go
@@ -79,15 +79,18 @@
 	t.Flush()
 }
 
-// commandLine returns the arguments without the name of the file for figures,
-// which is the machine's.
+// commandLine returns the arguments without the names of files and directories
+// that only this machine knows.
 func commandLine() string {
+	hidden := map[string]string{"--out": "FILE", "--logs": "DIR"}
 	line := slices.Clone(os.Args[1:])
 	for i, a := range line {
-		if name, _, ok := strings.Cut(a, "="); name == "--out" && ok {
-			line[i] = "--out=FILE"
-		} else if a == "--out" && i+1 < len(line) {
-			line[i+1] = "FILE"
+		name, _, joined := strings.Cut(a, "=")
+		switch place, ok := hidden[name]; {
+		case ok && joined:
+			line[i] = name + "=" + place
+		case ok && i+1 < len(line):
+			line[i+1] = place
 		}
 	}
 	return strings.Join(line, " ")
