measure: detection needs both the nodes' decision and the end of the work

Cause: the share of work alone fell below the threshold by chance, once 0.2 s after a target became slow, before any node had noticed. Change: the time counts from the nodes' decision on, and until the work has stopped. Long work is half of the slots' time instead of 0.4.

--- a/measure/deployment.go
+++ b/measure/deployment.go
@@ -107,7 +107,7 @@
 
 func batchService(name string, targets, slots int) service {
 	return service{
-		name: name, targets: targets, slots: slots, longShare: 0.5,
+		name: name, targets: targets, slots: slots, longShare: 0.6,
 		class: load.Class{
 			Name: name, Path: "/" + name + "/item", Work: batchWork, Exponential: true,
 			AnswerBytes: 2000, Patience: 10 * time.Second, Callers: 200,
--- a/measure/gray.go
+++ b/measure/gray.go
@@ -64,8 +64,7 @@
 	all := b.scenario
 	for _, c := range b.grayCases() {
 		b.scenario = all + "/" + c.name
-		took := workStops(b.ledger.All(), b.grayName(c), b.peers(c), onset, length)
-		r.add(b.label, detection, took.Seconds())
+		r.add(b.label, detection, b.outOfService(c, onset, length).Seconds())
 	}
 	b.scenario = all
 	b.addFalse(r, b.grayCases())
@@ -104,6 +103,17 @@
 // outWindow is the time over which the shares are compared.
 const outWindow = time.Second
 
+// outOfService returns how long after onset the nodes had taken a target out of
+// normal service and it got no more of its share of work, or limit if never.
+func (b *bench) outOfService(c grayCase, onset time.Time, limit time.Duration) time.Duration {
+	out := b.outAt(b.grayName(c), onset)
+	if out.IsZero() {
+		return limit
+	}
+	after := out.Sub(onset)
+	return after + workStops(b.ledger.All(), b.grayName(c), b.peers(c), out, limit-after)
+}
+
 // workStops returns how long after since the target's share of work fell below
 // outShare for outWindow, or limit if it did not.
 func workStops(runs []target.Run, name string, peers []string, since time.Time, limit time.Duration) time.Duration {
--- a/measure/long.go
+++ b/measure/long.go
@@ -9,7 +9,7 @@
 
 const (
 	// longLoad is the share of the slots' time that long requests take.
-	longLoad = 0.4
+	longLoad = 0.5
 	// shortPerLong is how many short requests come with each long one.
 	shortPerLong = 9
 	// longPatience is how long a caller waits for long work.
