--- a/cmd/filbertmill/config.go
+++ b/cmd/filbertmill/config.go
@@ -56,15 +56,15 @@
 type changeFlags struct {
 	Author string `arg:"--author,required,env:FILBERTMILL_AUTHOR" placeholder:"NAME" help:"who makes the change"`
 	Note   string `arg:"--note" placeholder:"TEXT" help:"why the change is made"`
-	Node   string `arg:"--node,env:FILBERTMILL_NODE" placeholder:"ADDRESS" help:"admin address of any node; the revision goes above those in force"`
+	Admin  string `arg:"--admin,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node; the revision goes above those in force"`
 }
 
 // above returns the newest revision in force, 0 if no node is given.
 func (f changeFlags) above(ctx context.Context) (int64, error) {
-	if f.Node == "" {
+	if f.Admin == "" {
 		return 0, nil
 	}
-	s, err := fleetStatus(ctx, f.Node)
+	s, err := fleetStatus(ctx, f.Admin)
 	return s.Newest.Revision, err
 }
 
--- a/cmd/filbertmill/demotext.go
+++ b/cmd/filbertmill/demotext.go
@@ -29,11 +29,11 @@
 		fmt.Sprintf("curl -i http://%s/status/van-7", first.CallerAddress()),
 		fmt.Sprintf("curl -i -X POST -d 'rug 12' http://%s/bookings", second.CallerAddress()),
 		fmt.Sprintf("curl -s http://%s/pools", operators),
-		fmt.Sprintf("filbertmill status --node %s", operators),
+		fmt.Sprintf("filbertmill status --admin %s", operators),
 		fmt.Sprintf("filbertmill explain --service bookings --since 10m --admin %s", operators),
 		fmt.Sprintf("filbertmill report burn --admin %s", operators),
 		fmt.Sprintf("filbertmill config show --store %s > demo.ini", store),
-		fmt.Sprintf("filbertmill config apply demo.ini --author me --note trial --node %s --store %s", operators, store),
+		fmt.Sprintf("filbertmill config apply demo.ini --author me --note trial --admin %s --store %s", operators, store),
 		fmt.Sprintf("filbertmill config history --store %s", store),
 	}
 }
--- a/cmd/filbertmill/explain.go
+++ b/cmd/filbertmill/explain.go
@@ -18,7 +18,7 @@
 	Service string        `arg:"--service" placeholder:"NAME" help:"decisions on this service"`
 	Since   time.Duration `arg:"--since" placeholder:"DURATION" help:"how far to look back, for example 10m [default: as far as is kept]"`
 	JSON    bool          `arg:"--json" help:"print JSON in place of sentences"`
-	Admin   string        `arg:"--admin,required,env:FILBERTMILL_NODE" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
+	Admin   string        `arg:"--admin,required,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
 }
 
 func (c *explainCommand) run() int {
--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -10,6 +10,7 @@
 	"os"
 
 	"github.com/alexflint/go-arg"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 )
 
 // Exit codes of all commands.
@@ -49,6 +50,7 @@
 }
 
 func main() {
+	hlog.SetLevel(hlog.LevelFatal) // hertz's own lines are not JSON
 	os.Exit(run(os.Args[1:]))
 }
 
--- a/cmd/filbertmill/poison.go
+++ b/cmd/filbertmill/poison.go
@@ -27,13 +27,13 @@
 // poisonList prints the quarantines.
 type poisonList struct {
 	JSON  bool   `arg:"--json" help:"print JSON in place of a table"`
-	Admin string `arg:"--admin,required,env:FILBERTMILL_NODE" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
+	Admin string `arg:"--admin,required,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
 }
 
 // poisonRelease ends a quarantine.
 type poisonRelease struct {
 	Fingerprint string `arg:"positional,required" placeholder:"FINGERPRINT" help:"the fingerprint as list prints it"`
-	Admin       string `arg:"--admin,required,env:FILBERTMILL_NODE" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
+	Admin       string `arg:"--admin,required,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
 }
 
 func (c *poisonCommand) run() int {
--- a/cmd/filbertmill/report.go
+++ b/cmd/filbertmill/report.go
@@ -27,7 +27,7 @@
 	Service string `arg:"--service" placeholder:"NAME" help:"report on this service only"`
 	JSON    bool   `arg:"--json" help:"print JSON in place of tables"`
 	HTML    string `arg:"--html" placeholder:"FILE" help:"write an HTML page with plots to this file"`
-	Admin   string `arg:"--admin,required,env:FILBERTMILL_NODE" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
+	Admin   string `arg:"--admin,required,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
 }
 
 func (c *burnCommand) run() int {
--- a/cmd/filbertmill/status.go
+++ b/cmd/filbertmill/status.go
@@ -14,12 +14,12 @@
 
 // statusCommand shows the fleet as one node sees it.
 type statusCommand struct {
-	Node string `arg:"--node,required,env:FILBERTMILL_NODE" placeholder:"ADDRESS" help:"admin address of any node"`
-	JSON bool   `arg:"--json" help:"print JSON"`
+	Admin string `arg:"--admin,required,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node"`
+	JSON  bool   `arg:"--json" help:"print JSON"`
 }
 
 func (c *statusCommand) run() int {
-	s, err := fleetStatus(context.Background(), c.Node)
+	s, err := fleetStatus(context.Background(), c.Admin)
 	if err != nil {
 		return report(err)
 	}
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -47,13 +47,13 @@
 	}{
 		{"diff", []string{"config", "diff", "--store", store, file}, 0, "+ [service service-0] queue_limit = 300"},
 		{"no reason", []string{"config", "apply", "--store", store, unreasoned}, 1, "reason"},
-		{"apply", []string{"config", "apply", "--store", store, "--node", f.Specs[0].Admin, "--note", "more room", file}, 0, "revision 2 "},
+		{"apply", []string{"config", "apply", "--store", store, "--admin", f.Specs[0].Admin, "--note", "more room", file}, 0, "revision 2 "},
 		{"apply on an old base", []string{"config", "apply", "--store", store, file}, 1, "  + [service service-0] queue_limit = 300"},
 		{"history", []string{"config", "history", "--store", store}, 0, "more room"},
 		{"rollback", []string{"config", "rollback", "--store", store, "1"}, 0, "revision 3 "},
 		{"show an earlier one", []string{"config", "show", "--store", store, "--revision", "2"}, 0, "queue_limit = 300"},
 		{"unknown revision", []string{"config", "rollback", "--store", store, "9"}, 1, "no such revision"},
-		{"status", []string{"status", "--node", f.Specs[1].Admin}, 0, "3 members, 0 lagging, 0 silent"},
+		{"status", []string{"status", "--admin", f.Specs[1].Admin}, 0, "3 members, 0 lagging, 0 silent"},
 	}
 	r := cluster.Follow(limited(c), f.Specs)
 	for _, step := range steps {
