pool: a home looks at a target before it sends the first work there

Change: a newly listed target is probed, and gets work once it was seen or after 150 ms. Ruled out: the host list, which did not name the target.

--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -101,6 +101,10 @@
 	return pt
 }
 
+// firstLook is how long a home that has just met a target waits to see it
+// before it sends work there; a probe takes about 25 ms.
+const firstLook = 150 * time.Millisecond
+
 // poolConfig derives a Scheduler's settings from the fleet configuration.
 func poolConfig(svc *dynamic.Service, targets []dynamic.Target) pool.Config {
 	slots := 0
@@ -115,6 +119,7 @@
 	cfg.QueueLimit = svc.QueueLimit
 	cfg.CallerShare = svc.CallerShare
 	cfg.LongShare = svc.LongShare
+	cfg.FirstLook = firstLook
 	return cfg
 }
 
--- a/pool/home.go
+++ b/pool/home.go
@@ -80,6 +80,7 @@
 	if t == nil {
 		t = newTarget(now, listed, h.firstState())
 		h.targets[listed.Name] = t
+		h.firstLook(now, t)
 	}
 	t.limit.slots = max(1, t.limit.slots+listed.Slots-t.Slots)
 	t.Target = listed
--- a/pool/reach.go
+++ b/pool/reach.go
@@ -57,6 +57,7 @@
 	} else {
 		t.reach.other = view{now, o.Reachable}
 	}
+	h.endFirstLook(now, t, o)
 	h.observeLeaving(now, t, o)
 	if o.Origin == OriginHome && t.state == StateProbation {
 		h.probeProbation(now, t, o.Reachable)
--- a/pool/target.go
+++ b/pool/target.go
@@ -37,6 +37,8 @@
 	// ratio of them being slow.
 	good int
 	slow float64
+	// firstLook says that the first probe of a new target has not been answered.
+	firstLook bool
 	// ownSignal is when the target last announced that it is leaving.
 	ownSignal time.Time
 }
