config: zeros that the scheduler takes for defaults are refused

Cause: queue_limit, caller_share and long_share of 0 were accepted, and the scheduler used its defaults instead: an operator's value was lost without a word. Change: they must be above 0. TestZeroThatStopsAllWork failed before.

--- a/config/dynamic/fields.go
+++ b/config/dynamic/fields.go
@@ -25,6 +25,17 @@
 	maxBodyBytes   = int64(1) << 50
 )
 
+// unitPositiveShare is the unit of shares that would stop all work at 0.
+const unitPositiveShare = "share, above 0"
+
+// checkPositive refuses a share of 0.
+func checkPositive(share float64) error {
+	if share == 0 {
+		return errors.New("must be above 0")
+	}
+	return nil
+}
+
 // configurationFields are the keys that filbertmill itself writes.
 var configurationFields = []schema.Field[Config]{
 	schema.Integer("revision", "number", 0, Revision(1<<62), func(c *Config) *Revision { return &c.Revision }),
@@ -38,9 +49,11 @@
 	schema.Integer("connections", "connections", 1, maxConnections, func(s *Service) *int { return &s.Connections }).
 		WithDefault("330"),
 	schema.Share("floor_share", func(s *Service) *float64 { return &s.FloorShare }).WithDefault("0.5"),
-	schema.Integer("queue_limit", "requests", 0, maxQueue, func(s *Service) *int { return &s.QueueLimit }).WithDefault("256"),
-	schema.Share("caller_share", func(s *Service) *float64 { return &s.CallerShare }).WithDefault("0.5"),
-	schema.Share("long_share", func(s *Service) *float64 { return &s.LongShare }).WithDefault("0.25"),
+	schema.Integer("queue_limit", "requests", 1, maxQueue, func(s *Service) *int { return &s.QueueLimit }).WithDefault("256"),
+	schema.Share("caller_share", func(s *Service) *float64 { return &s.CallerShare }).
+		WithDefault("0.5").WithUnit(unitPositiveShare).Validated(func(s *Service) error { return checkPositive(s.CallerShare) }),
+	schema.Share("long_share", func(s *Service) *float64 { return &s.LongShare }).
+		WithDefault("0.25").WithUnit(unitPositiveShare).Validated(func(s *Service) error { return checkPositive(s.LongShare) }),
 	schema.Share("retry_share", func(s *Service) *float64 { return &s.RetryShare }).WithDefault("0.1"),
 	refusalStatusField(),
 	schema.Share("objective", func(s *Service) *float64 { return &s.Objective }).
--- a/config/dynamic/parse_test.go
+++ b/config/dynamic/parse_test.go
@@ -193,6 +193,21 @@
 	})
 }
 
+// A value that the scheduler would take for "not set" is refused.
+func TestZeroThatStopsAllWork(t *testing.T) {
+	src := "[service a]\nqueue_limit = 0\ncaller_share = 0\nlong_share = 0\nretry_share = 0\n"
+	_, problems := Parse("f.ini", []byte(src))
+	var texts []string
+	for _, p := range problems {
+		texts = append(texts, p.Error())
+	}
+	qt.Assert(t, texts, qt.DeepEquals, []string{
+		`f.ini:2: [service a] queue_limit: 0 is not between 1 and 1000000`,
+		`f.ini:3: [service a] caller_share: must be above 0`,
+		`f.ini:4: [service a] long_share: must be above 0`,
+	})
+}
+
 func TestEffective(t *testing.T) {
 	c := mustParse(t, valid)
 	expiry := time.Date(2030, 7, 31, 23, 0, 0, 0, time.UTC)
