--- a/pool/home.go
+++ b/pool/home.go
@@ -80,6 +80,7 @@
 	if t == nil {
 		t = newTarget(now, listed, h.firstState())
 		h.targets[listed.Name] = t
+		h.firstLook(now, t)
 	}
 	t.limit.slots = max(1, t.limit.slots+listed.Slots-t.Slots)
 	t.Target = listed
@@ -178,7 +179,7 @@
 // warm takes an answer of a cold target; one that answers like its peers on
 // all its slots is warm.
 func (h *home) warm(now time.Time, t *target, s sample) {
-	if s.category == categoryNone || s.category == categoryFailed {
+	if s.category == categoryNone || s.failed() {
 		return
 	}
 	t.good++
@@ -193,6 +194,7 @@
 
 func (h *home) Tick(now time.Time) {
 	h.ticked = now
+	h.callers.forget(now)
 	h.examineRunning(now)
 	h.correctRunning(now)
 	h.correctWaiting(now)
