exchange: spares for busy addresses, opened as many as are missing

Change: the first look at a target has its spares opened, and a node that took the last idle connection to a busy home opens another ahead.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -90,8 +90,8 @@
 	Request *protocol.Request
 	// Fresh asks for a connection that no earlier exchange has used.
 	Fresh bool
-	// Spares is the number of connections to hold ready for an address whose
-	// answers do not name their attempt; usually the requests it runs at once.
+	// Spares is the number of connections to hold ready besides those that can
+	// be used again; usually the requests that the address runs at once.
 	Spares int
 	// MaxResponseBytes bounds the answer's body; 0 means no bound.
 	MaxResponseBytes int64
@@ -201,6 +201,7 @@
 	}
 	if !call.Fresh {
 		if cn := takeSilent(c.idle, call.Address); cn != nil {
+			c.anticipate(call, cn)
 			return cn, nil
 		}
 	}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -17,6 +17,8 @@
 	addr   string
 	// shelf holds the connection while no exchange uses it.
 	shelf *shelf
+	// parked is when the connection was last put on a shelf.
+	parked time.Time
 	// watch receives, once the connection is taken from its shelf, whether
 	// it stayed silent while it was idle.
 	watch chan bool
@@ -40,7 +42,8 @@
 // park watches an idle connection: a byte or an end that arrives while no
 // exchange is running makes it unusable.
 func (c *conn) park(idle time.Duration) {
-	_ = c.SetDeadline(time.Now().Add(idle))
+	c.parked = time.Now()
+	_ = c.SetDeadline(c.parked.Add(idle))
 	c.watch = make(chan bool, 1)
 	go func() {
 		_, err := c.Peek(1)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -178,6 +178,40 @@
 	c.Check(cl.Open(), qt.Equals, int64(0))
 }
 
+// A busy address has a connection ready besides the one that is used again; an
+// address that is asked now and then has not.
+func TestBusyAddressHasASpare(t *testing.T) {
+	c := qt.New(t)
+	s := serveScript(c, wholeAnswer, wholeAnswer, wholeAnswer)
+	cl := NewClient(Options{Name: "t"})
+	addr := s.ln.Addr().String()
+	exchange := func() {
+		r := &protocol.Request{}
+		r.Header.SetHost("test")
+		r.Header.SetRequestURI("/")
+		ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
+		defer cancel()
+		ans, f := cl.Do(ctx, Call{Address: addr, Request: r, Spares: 1})
+		c.Assert(f == nil, qt.IsTrue)
+		_, err := io.ReadAll(ans.Body)
+		c.Assert(err, qt.IsNil)
+	}
+	exchange()
+	cn := cl.idle.take(addr)
+	c.Assert(cn.unpark(), qt.IsTrue)
+	cl.keep(cn)
+	cn.parked = cn.parked.Add(-2 * busyInterval)
+	exchange()
+	c.Check(cl.spares.reserve(addr, 1), qt.IsTrue, qt.Commentf("no spare is held or being opened"))
+	cl.spares.settle(addr)
+
+	exchange()
+	for cl.spares.shelf.size(addr) != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(cl.Open(), qt.Equals, int64(2))
+}
+
 // An idle connection that the other end closes or writes to is given up.
 func TestIdleConnectionWatched(t *testing.T) {
 	for _, late := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"} {
--- a/node/control.go
+++ b/node/control.go
@@ -44,7 +44,7 @@
 	// calls told once they have answered or were given up.
 	spreadQuarantine(e poison.Entry, told func())
 	// probe asks for an observation of a target; the answer comes as a command.
-	probe(service, target, address, path string, origin pool.Origin)
+	probe(service, target string, at endpoint, path string, origin pool.Origin)
 }
 
 // newControlLoop returns the state with no configuration in force.
--- a/node/forward.go
+++ b/node/forward.go
@@ -25,6 +25,10 @@
 // place.
 const maxRedirects = 2
 
+// peerSpares is the number of connections held ready to a home with which this
+// node exchanges requests all the time.
+const peerSpares = 1
+
 // serve runs a request here or at its service's home.
 func (n *Node) serve(ctx context.Context, r *request) result {
 	if r.service.Variant == dynamic.VariantDirect && r.key == "" {
@@ -105,6 +109,7 @@
 	ans, f := n.client.Do(hop, exchange.Call{
 		Address:          m.Peer.PeerAddress,
 		Request:          out,
+		Spares:           peerSpares,
 		MaxResponseBytes: r.route.MaxResponseBytes,
 	})
 	var body *answerBody
--- a/node/probe.go
+++ b/node/probe.go
@@ -45,7 +45,7 @@
 
 // probe implements environment. If no other availability zone can be asked,
 // there is no second view and no observation.
-func (n *Node) probe(service, target, address, path string, origin pool.Origin) {
+func (n *Node) probe(service, target string, at endpoint, path string, origin pool.Origin) {
 	go func() {
 		var o pool.Observation
 		if origin == pool.OriginOtherZone {
@@ -55,7 +55,7 @@
 			}
 			o = pool.Observation{Reachable: reply.Reachable, Leaving: reply.Leaving, Latency: reply.Latency}
 		} else {
-			o = n.look(address, path)
+			o = n.look(at, path)
 		}
 		o.Target = target
 		o.Origin = origin
@@ -96,25 +96,26 @@
 	if err := control.Unmarshal(body, &q); err != nil {
 		return nil, err
 	}
-	address, path, ok := n.routes.Load().endpoint(q.Service, q.Target)
+	at, path, ok := n.routes.Load().endpoint(q.Service, q.Target)
 	if !ok {
 		return nil, errUnknownTarget
 	}
-	o := n.look(address, path)
+	o := n.look(at, path)
 	return lookReply{Reachable: o.Reachable, Leaving: o.Leaving, Latency: o.Latency}, nil
 }
 
-// look asks a target's health endpoint once, in this node's name.
-func (n *Node) look(address, path string) pool.Observation {
+// look asks a target's health endpoint once, in this node's name, and has
+// connections opened for the work that may follow.
+func (n *Node) look(at endpoint, path string) pool.Observation {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	req := &protocol.Request{}
 	req.Header.SetMethod("GET")
-	req.Header.SetHost(address)
+	req.Header.SetHost(at.address)
 	req.Header.SetRequestURI(path)
 	req.Header.SetUserAgentBytes([]byte("filbertmill-probe " + n.settings.Name))
 	start := time.Now()
-	ans, f := n.client.Do(ctx, exchange.Call{Address: address, Request: req, MaxResponseBytes: replayLimit})
+	ans, f := n.client.Do(ctx, exchange.Call{Address: at.address, Request: req, Spares: at.slots, MaxResponseBytes: replayLimit})
 	if f != nil {
 		return pool.Observation{}
 	}
--- a/node/routes.go
+++ b/node/routes.go
@@ -67,13 +67,14 @@
 // route returns the route with the given name, or nil.
 func (t *routeTable) route(name string) *dynamic.Route { return t.byName[name] }
 
-// endpoint returns the address of a service's target and its probe path.
-func (t *routeTable) endpoint(service, target string) (address, path string, ok bool) {
+// endpoint returns where a service's target listens and its probe path. It does
+// not say how many slots the target has, since only its home sends it work.
+func (t *routeTable) endpoint(service, target string) (at endpoint, path string, ok bool) {
 	svc, tgt := t.services[service], t.targets[target]
 	if svc == nil || tgt == nil || tgt.Service != service {
-		return "", "", false
+		return endpoint{}, "", false
 	}
-	return tgt.Address, svc.ProbePath, true
+	return endpoint{address: tgt.Address}, svc.ProbePath, true
 }
 
 // idempotent reports whether a request of the route may be run more than once.
--- a/node/servicepool.go
+++ b/node/servicepool.go
@@ -155,7 +155,7 @@
 
 // Probe implements pool.Delegate.
 func (p *servicePool) Probe(target string, origin pool.Origin) {
-	p.control.env.probe(p.service.Name, target, p.endpoints[target].address, p.service.ProbePath, origin)
+	p.control.env.probe(p.service.Name, target, p.endpoints[target], p.service.ProbePath, origin)
 }
 
 // Event implements pool.Delegate. The Scheduler knows attempts by their own
