measure: straight requests enter at as many addresses as those through the fleet

Cause: callers keep a connection for 1 s; with 12 entries about 1 request in 40 opened one of its own (a round trip of 6 ms), against hardly any to the single straight address, so that added_p99_ms held the callers' own connections. Ruled out before: connections to targets and homes (84 of 4,866, all in the first two seconds). Change: the straight stand-in is entered over as many ways as there are nodes.

--- a/measure/added.go
+++ b/measure/added.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertmill.example/fleet/control"
+	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/load"
 	"filbertmill.example/testbed/target"
 )
@@ -97,15 +98,15 @@
 		return err
 	}
 	defer straight.Close()
-	way, err := delayed(straight.Address(), clientDelay)
+	ways, closeWays, err := straightWays(straight.Address(), len(b.nodes))
 	if err != nil {
 		return err
 	}
-	defer way.Close()
+	defer closeWays()
 
 	arrivals := b.addedArrivals()
 	compared := make(chan []load.Sample)
-	go func() { compared <- load.Run(ctx, load.Fixed(b.opts.seed, way.Address()), arrivals) }()
+	go func() { compared <- load.Run(ctx, load.Fixed(b.opts.seed, ways...), arrivals) }()
 	entryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	through := load.Run(ctx, b.entries(entryCtx), arrivals)
@@ -131,6 +132,27 @@
 	return nil
 }
 
+// straightWays returns as many ways to a straight stand-in as there are nodes, so
+// that callers open as many connections of their own on either side.
+func straightWays(upstream string, n int) (ways []string, closeAll func(), err error) {
+	var proxies []*faultproxy.Proxy
+	closeAll = func() {
+		for _, p := range proxies {
+			p.Close()
+		}
+	}
+	for range n {
+		p, err := delayed(upstream, clientDelay)
+		if err != nil {
+			closeAll()
+			return nil, nil, err
+		}
+		proxies = append(proxies, p)
+		ways = append(ways, p.Address())
+	}
+	return ways, closeAll, nil
+}
+
 // answerTime is a sample's latency, or the caller's whole patience if it got no
 // answer, so that losing requests never looks fast.
 func answerTime(s load.Sample) time.Duration {
