A node without a configuration says so, 503 with Retry-After

Change: reason no_configuration, not-run; an entry takes it from a home as a reason to try the next rank. TestNoConfigurationYet failed before (404).

--- a/burn/cause.go
+++ b/burn/cause.go
@@ -43,6 +43,7 @@
 // target's answer. A reason that is missing is charged to filbertmill itself.
 var reasonCauses = map[outcome.Reason]Cause{
 	outcome.ReasonNoRoute:          CauseCaller,
+	outcome.ReasonNoConfiguration:  CauseOwn,
 	outcome.ReasonBadRequest:       CauseCaller,
 	outcome.ReasonTooLarge:         CauseCaller,
 	outcome.ReasonCallerLeft:       CauseCaller,
--- a/event/reason.go
+++ b/event/reason.go
@@ -29,6 +29,7 @@
 	"member_gone":         "a member of the fleet is gone",
 	"newer_revision":      "a newer revision was accepted",
 	"no_claim":            "the idempotency key could not be claimed",
+	"no_configuration":    "the node had no configuration yet",
 	"no_home":             "no node could be reached that serves the service",
 	"no_route":            "no route matched",
 	"no_target":           "no target could take work",
--- /dev/null
+++ b/integration/noconfig_test.go
@@ -0,0 +1,40 @@
+package integration
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/outcome"
+	"filbertmill.example/testbed/process"
+)
+
+// A node that has no configuration yet says so and is asked again later; it
+// does not claim that there is no route.
+func TestNoConfigurationYet(t *testing.T) {
+	c := qt.New(t)
+	specs, err := process.NewSpecs(1, zones)
+	c.Assert(err, qt.IsNil)
+	store := unreachable(c)
+	extra := "[platform]\nstore = http://" + store + "\nhost_list = http://" + store + "\n"
+	node, err := process.Start(binary, c.TempDir(), specs[0], specs[0].Settings(nil, extra))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(node.Kill)
+	var resp *http.Response
+	for resp == nil {
+		if resp, err = http.Get("http://" + specs[0].Callers + "/status/x"); err != nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	resp.Body.Close()
+	c.Check(resp.StatusCode, qt.Equals, 503)
+	c.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Check(resp.Header.Get(outcome.Header), qt.Equals, string(outcome.NotRun))
+	c.Check(resp.Header.Get("Proxy-Status"), qt.Contains, "no_configuration")
+	ready, err := http.Get("http://" + specs[0].Admin + "/readyz")
+	c.Assert(err, qt.IsNil)
+	ready.Body.Close()
+	c.Check(ready.StatusCode, qt.Equals, 503)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -83,7 +83,7 @@
 	table := n.routes.Load()
 	rt := table.match(string(h.Host()), string(ctx.Path()))
 	if rt == nil {
-		return nil, refused(outcome.ReasonNoRoute, "")
+		return nil, table.noRoute("")
 	}
 	timeout, err := callerTimeout(string(h.Peek(headerTimeout)), rt.Timeout)
 	if err != nil {
@@ -117,7 +117,7 @@
 	table := n.routes.Load()
 	rt := table.route(string(h.Peek(hopRoute)))
 	if rt == nil {
-		return nil, refused(outcome.ReasonNoRoute, "the home does not have the route")
+		return nil, table.noRoute("the home does not have the route")
 	}
 	left, err := strconv.ParseInt(string(h.Peek(hopTimeLeft)), 10, 64)
 	if err != nil {
--- a/node/forward.go
+++ b/node/forward.go
@@ -137,8 +137,11 @@
 	if res.handedBack {
 		return r.resendableToHome()
 	}
-	reason := res.outcome.Reason
-	return (reason == outcome.ReasonShutdown || reason == outcome.ReasonNoRoute) && r.body.replayable()
+	switch res.outcome.Reason {
+	case outcome.ReasonShutdown, outcome.ReasonNoRoute, outcome.ReasonNoConfiguration:
+		return r.body.replayable()
+	}
+	return false
 }
 
 // forwardFailed says what became of a request whose hop to the home failed.
--- a/node/node.go
+++ b/node/node.go
@@ -56,7 +56,7 @@
 	}
 	n.inForce.effective = n.applyEffective
 	n.control = newControlLoop(n, seedOf(settings.Name))
-	n.routes.Store(newRouteTable(&dynamic.Config{}))
+	n.routes.Store(&routeTable{})
 	var err error
 	if n.membership, err = newMembership(n, initialDocument(cfg)); err != nil {
 		return nil, err
--- a/node/routes.go
+++ b/node/routes.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"filbertmill.example/config/dynamic"
+	"filbertmill.example/outcome"
 )
 
 // anyHost is the host pattern that matches every host.
@@ -12,19 +13,22 @@
 
 // routeTable finds the route of a request. It is immutable.
 type routeTable struct {
-	byHost   map[string]*prefixes
-	byName   map[string]*dynamic.Route
-	services map[string]*dynamic.Service
-	targets  map[string]*dynamic.Target
+	// configured says that a configuration is in force, if only an empty one.
+	configured bool
+	byHost     map[string]*prefixes
+	byName     map[string]*dynamic.Route
+	services   map[string]*dynamic.Service
+	targets    map[string]*dynamic.Target
 }
 
 // newRouteTable indexes a configuration.
 func newRouteTable(cfg *dynamic.Config) *routeTable {
 	t := &routeTable{
-		byHost:   make(map[string]*prefixes),
-		byName:   make(map[string]*dynamic.Route, len(cfg.Routes)),
-		services: make(map[string]*dynamic.Service),
-		targets:  make(map[string]*dynamic.Target),
+		configured: true,
+		byHost:     make(map[string]*prefixes),
+		byName:     make(map[string]*dynamic.Route, len(cfg.Routes)),
+		services:   make(map[string]*dynamic.Service),
+		targets:    make(map[string]*dynamic.Target),
 	}
 	for i := range cfg.Targets {
 		t.targets[cfg.Targets[i].Name] = &cfg.Targets[i]
@@ -77,6 +81,14 @@
 	return endpoint{address: tgt.Address}, svc.ProbePath, true
 }
 
+// noRoute says why the table has no route for a request.
+func (t *routeTable) noRoute(detail string) result {
+	if !t.configured {
+		return refused(outcome.ReasonNoConfiguration, "")
+	}
+	return refused(outcome.ReasonNoRoute, detail)
+}
+
 // idempotent reports whether a request of the route may be run more than once.
 func idempotent(r *dynamic.Route, method string) bool {
 	switch r.Idempotency {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -32,6 +32,8 @@
 	ReasonAnswered Reason = "answered"
 	// ReasonNoRoute means that no route matches the request.
 	ReasonNoRoute Reason = "no_route"
+	// ReasonNoConfiguration means that the node does not know the routes yet.
+	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonBadRequest means that the request is malformed.
 	ReasonBadRequest Reason = "bad_request"
 	// ReasonTooLarge means that the request body exceeds the route's limit.
--- a/outcome/outcome_test.go
+++ b/outcome/outcome_test.go
@@ -24,6 +24,7 @@
 }{
 	{"answered", "run", 0, "", false},
 	{"no_route", "not-run", 404, "destination_not_found", false},
+	{"no_configuration", "not-run", 503, "destination_unavailable", true},
 	{"bad_request", "not-run", 400, "http_request_error", false},
 	{"too_large", "not-run", 413, "http_request_error", false},
 	{"queue_full", "not-run", 503, "connection_limit_reached", true},
--- a/outcome/table.go
+++ b/outcome/table.go
@@ -37,6 +37,7 @@
 	ReasonAnswered: {Kind: Run, Title: "The target answered."},
 
 	ReasonNoRoute:          {NotRun, http.StatusNotFound, errorNotFound, "No route matches the request.", false},
+	ReasonNoConfiguration:  {NotRun, statusUnavailable, errorUnavailable, "The node has no configuration yet.", true},
 	ReasonBadRequest:       {NotRun, http.StatusBadRequest, errorRequest, "The request is malformed.", false},
 	ReasonTooLarge:         {NotRun, http.StatusRequestEntityTooLarge, errorRequest, "The request body exceeds the route's limit.", false},
 	ReasonQueueFull:        {NotRun, statusUnavailable, errorLimit, "The service's queue is full.", true},
