pool: an attempt that all usable targets have failed is given up at once

Cause: it waited in the queue until its deadline, since only excluded targets could have taken it; a request that has been given up on gets its final answer at once. TestHomeRefusesWhatEveryTargetFailed; pool tests pass.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -26,7 +26,7 @@
 	switch {
 	case !a.Deadline.After(now):
 		return Refusal{Reason: outcome.ReasonTooLate}, false
-	case h.usableSlots() == 0 && !h.anyDoseDue(now):
+	case h.usableSlots(a.Exclude) == 0 && (len(a.Exclude) > 0 || !h.anyDoseDue(now)):
 		return Refusal{Reason: outcome.ReasonNoTarget, RetryAfter: retryAfterMax}, false
 	case h.queue.len() >= h.cfg.QueueLimit:
 		return Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: h.retryAfter(now, a)}, false
@@ -38,10 +38,14 @@
 	return Refusal{}, true
 }
 
-// usableSlots returns the slots that can run work now or when they are free.
-func (h *home) usableSlots() int {
+// usableSlots returns the slots, but for those of the excluded targets, that can
+// run work now or when they are free.
+func (h *home) usableSlots(exclude []string) int {
 	n := 0
 	for _, t := range h.order {
+		if slices.Contains(exclude, t.Name) {
+			continue
+		}
 		if t.state == StateServing || t.state == StateCold || t.state == StateSuspected {
 			n += t.capacity()
 		}
--- a/pool/caller.go
+++ b/pool/caller.go
@@ -83,7 +83,7 @@
 	if a.Caller == "" || h.cfg.CallerShare >= 1 {
 		return true
 	}
-	share := int(math.Ceil(h.cfg.CallerShare * float64(h.usableSlots())))
+	share := int(math.Ceil(h.cfg.CallerShare * float64(h.usableSlots(nil))))
 	if h.callerRunning(a.Caller) < share {
 		return true
 	}
--- a/pool/home_test.go
+++ b/pool/home_test.go
@@ -66,3 +66,17 @@
 	h.Tick(epoch.Add(DefaultConfig().LimitRecovery))
 	c.Assert(shedding.capacity(), qt.Equals, 2)
 }
+
+// An attempt that all targets have failed is given up at once.
+func TestHomeRefusesWhatEveryTargetFailed(t *testing.T) {
+	c := qt.New(t)
+	h, r := newTestHome(Config{})
+	var all []string
+	for _, target := range twoTargets() {
+		all = append(all, target.Name)
+	}
+	h.Submit(epoch, Request{ID: 1, Idempotent: true, Deadline: epoch.Add(10 * time.Second), Exclude: all})
+	c.Assert(r.refusal(1), qt.Equals, outcome.ReasonNoTarget)
+	h.Submit(epoch, Request{ID: 2, Idempotent: true, Deadline: epoch.Add(10 * time.Second), Exclude: all[:1]})
+	c.Assert(r.started[2], qt.Equals, all[1])
+}
--- a/pool/long.go
+++ b/pool/long.go
@@ -212,7 +212,7 @@
 	case classUnproven:
 		return max(1, h.longSlots(now))
 	default:
-		return max(1, h.usableSlots()-h.work.running[classLong])
+		return max(1, h.usableSlots(nil)-h.work.running[classLong])
 	}
 }
 
@@ -238,7 +238,7 @@
 
 // longShareSlots returns the slots that long work may hold at most.
 func (h *home) longShareSlots() int {
-	return max(1, int(h.cfg.LongShare*float64(h.usableSlots())))
+	return max(1, int(h.cfg.LongShare*float64(h.usableSlots(nil))))
 }
 
 // longSlots returns the slots that long work may hold now.
@@ -253,7 +253,7 @@
 // harmlessSlots returns as many slots of the share of long work as leave the
 // wait of short work near what it is without long work.
 func (h *home) harmlessSlots(now time.Time) int {
-	slots := h.usableSlots()
+	slots := h.usableSlots(nil)
 	load := h.work.load(now)
 	bound := max(waitRatio*quantileWait(slots, load), h.longDelay())
 	most := h.longShareSlots()
