--- a/cmd/filbertmill/main.go
+++ b/cmd/filbertmill/main.go
@@ -22,6 +22,7 @@
 
 // arguments are the commands of the program.
 type arguments struct {
+	Gateway *gatewayCommand `arg:"subcommand:gateway" help:"run a node on the platform, with the settings file that FILBERTMILL_SETTINGS names"`
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node until it is told to stop"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"report every problem in settings or configuration files"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"say why the fleet took its decisions on a target, a request or a service"`
--- a/config/dynamic/config.go
+++ b/config/dynamic/config.go
@@ -23,6 +23,19 @@
 	Targets  []Target
 	// Exceptions lists the departures from the defaults.
 	Exceptions []Exception
+	// Limits bound what callers may send; a zero field sets no bound.
+	Limits Limits
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound one request, in bytes.
+	HeaderBytes int
+	BodyBytes   int
+	// HeaderTimeout bounds the time in which a request's header arrives.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration
 }
 
 // Variant names the way in which a service's requests are balanced.
@@ -92,8 +105,20 @@
 	Host string
 	// PathPrefix is the start of the path, in whole segments. Default: /.
 	PathPrefix string
+	// OnlyBelow says that the path must continue past the prefix's final slash.
+	OnlyBelow bool
 	// Service is the name of the service.
 	Service string
+	// Split, if not empty, divides the requests over several services, by
+	// weight, instead of sending all to Service.
+	Split []Share
+	// Attempts is the most targets that one request is offered to. Default: 3.
+	Attempts int
+	// Priority is the rank in which requests are served, 0 first. Default: 0.
+	Priority int
+	// LatencyObjective is the time within which an answer is worth most to the
+	// caller; 0 means the timeout. Default: 0s.
+	LatencyObjective time.Duration
 	// Idempotency says how requests may be repeated. Default: method.
 	Idempotency Idempotency
 	// Timeout is the longest time a request may take. Default: 10s.
@@ -104,6 +129,14 @@
 	MaxResponseBytes int64
 }
 
+// Share is a service's part of a route's requests.
+type Share struct {
+	// Service is the name of the service.
+	Service string
+	// Weight is its part, relative to the weights of the others.
+	Weight int
+}
+
 // Target is one licensed copy of a back end.
 type Target struct {
 	// Name identifies the target.
--- a/config/dynamic/parse_test.go
+++ b/config/dynamic/parse_test.go
@@ -70,6 +70,7 @@
 		Host:             "ices.example",
 		PathPrefix:       "/book",
 		Service:          "coldrun",
+		Attempts:         3,
 		Idempotency:      IdempotentNever,
 		Timeout:          4 * time.Second,
 		MaxRequestBytes:  256 << 20,
--- a/node/prefixes.go
+++ b/config/routing/prefixes.go
@@ -1,4 +1,4 @@
-package node
+package routing
 
 import (
 	"strings"
@@ -34,7 +34,7 @@
 		return nil
 	}
 	if len(path) <= p.longest {
-		if r := p.routes[path]; r != nil {
+		if r := p.routes[path]; r != nil && !r.OnlyBelow {
 			return r
 		}
 	}
--- a/exchange/body.go
+++ b/exchange/body.go
@@ -32,13 +32,14 @@
 }
 
 // newBody returns the body that follows the headers in r.
-func newBody(ctx context.Context, cn *conn, r *protocol.Response, limit int64) (*Body, error) {
+func newBody(ctx context.Context, cn *conn, r *protocol.Response, call Call) (*Body, error) {
+	limit := call.MaxResponseBytes
 	b := &Body{ctx: ctx, cn: cn, limit: limit, stop: func() bool { return true }}
 	if r.MustSkipBody() {
 		return b, nil
 	}
 	n := r.Header.ContentLength()
-	if n == lengthIdentity {
+	if n == lengthIdentity && !call.Unframed {
 		return nil, errNoLength
 	}
 	if limit > 0 && int64(n) > limit {
@@ -48,11 +49,15 @@
 	if n == 0 {
 		return b, nil
 	}
+	if n == lengthIdentity {
+		b.src = cn
+		return b, nil
+	}
 	b.src = ext.AcquireBodyStream(&bytebufferpool.ByteBuffer{}, cn, r.Header.Trailer(), n)
 	return b, nil
 }
 
-// Length returns the stated length in bytes, or -1 if the body is chunked.
+// Length returns the stated length in bytes; it is negative if none is stated.
 func (b *Body) Length() int64 { return b.length }
 
 // Read reads the next bytes of the body.
@@ -91,7 +96,7 @@
 func (b *Body) finish(err error) {
 	b.ended = true
 	stopped := b.stop()
-	whole := errors.Is(err, io.EOF) && (b.length == lengthChunked || b.read == b.length)
+	whole := errors.Is(err, io.EOF) && (b.length < 0 || b.read == b.length)
 	if !whole {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -101,7 +106,7 @@
 		return
 	}
 	b.end = io.EOF
-	if !b.reusable || !stopped || b.cn.Len() > 0 {
+	if !b.reusable || b.length == lengthIdentity || !stopped || b.cn.Len() > 0 {
 		b.cn.abort()
 		return
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,8 +35,28 @@
 	SpareTimeout time.Duration
 	// MaxIdle is the most unused connections kept for one address. Default: 32.
 	MaxIdle int
+	// Echo says how an answer proves to which request it belongs. Default:
+	// EchoAttempt.
+	Echo Echo
+	// EchoHeader is the header that EchoOwn compares.
+	EchoHeader string
 }
 
+// Echo names the proof that an answer belongs to its request.
+type Echo uint8
+
+// The proofs.
+const (
+	// EchoAttempt sets AttemptHeader in each request; a connection whose
+	// target does not copy it is not used again.
+	EchoAttempt Echo = iota
+	// EchoOwn compares EchoHeader, which the request holds already. A success
+	// without it, or an answer that names another request, is malformed.
+	EchoOwn
+	// EchoNone trusts the order of answers on a connection.
+	EchoNone
+)
+
 // Default settings of a Client.
 const (
 	defaultDialTimeout = 250 * time.Millisecond
@@ -95,6 +116,9 @@
 	Spares int
 	// MaxResponseBytes bounds the answer's body; 0 means no bound.
 	MaxResponseBytes int64
+	// Unframed accepts an answer without a length, whose body ends when its
+	// sender closes the connection properly.
+	Unframed bool
 }
 
 // Answer is the start of an answer. Body must be read to its end or closed.
@@ -130,8 +154,7 @@
 
 // exchange writes the request and reads the answer's headers.
 func (c *Client) exchange(ctx context.Context, cn *conn, call Call) (*Answer, *Failure) {
-	attempt := c.instance + strconv.FormatUint(c.attempts.Add(1), 36)
-	call.Request.Header.Set(AttemptHeader, attempt)
+	id := c.identify(call.Request)
 	if f := send(ctx, cn, call.Request); f != nil {
 		return nil, f
 	}
@@ -143,22 +166,76 @@
 		}
 		return nil, fail(ctx, StageAwait, err)
 	}
-	echo := string(r.Header.Peek(AttemptHeader))
-	if echo != "" && echo != attempt {
+	proved, ok := c.proves(r, id)
+	if !ok {
 		return nil, fail(ctx, StageReceive, errOtherAttempt)
 	}
-	r.Header.Del(AttemptHeader)
-	body, err := newBody(ctx, cn, r, call.MaxResponseBytes)
+	body, err := newBody(ctx, cn, r, call)
 	if err != nil {
 		return nil, fail(ctx, StageReceive, err)
 	}
-	body.reusable = echo == attempt && !r.Header.ConnectionClose()
+	body.reusable = proved && !r.Header.ConnectionClose()
+	cn.keepFor = keepAliveTimeout(&r.Header)
 	if !body.reusable || call.Fresh {
 		c.replenish(call.Address, call.Spares)
 	}
 	return &Answer{Response: r, Body: body}, nil
 }
 
+// identify returns what the answer has to name, and sets it in the request
+// where that is the client's to do.
+func (c *Client) identify(r *protocol.Request) string {
+	switch c.opts.Echo {
+	case EchoOwn:
+		return string(r.Header.Peek(c.opts.EchoHeader))
+	case EchoNone:
+		return ""
+	}
+	id := c.instance + strconv.FormatUint(c.attempts.Add(1), 36)
+	r.Header.Set(AttemptHeader, id)
+	return id
+}
+
+// proves reports whether the answer names its request, and whether it may be
+// the request's at all.
+func (c *Client) proves(r *protocol.Response, id string) (proved, ok bool) {
+	const firstFailure = 300
+	switch c.opts.Echo {
+	case EchoNone:
+		return true, true
+	case EchoOwn:
+		echo := string(r.Header.Peek(c.opts.EchoHeader))
+		if echo == "" {
+			return false, r.StatusCode() >= firstFailure
+		}
+		return echo == id, echo == id
+	}
+	echo := string(r.Header.Peek(AttemptHeader))
+	r.Header.Del(AttemptHeader)
+	return echo == id, echo == "" || echo == id
+}
+
+// keepAliveMargin is how long before the other end's idle timeout a connection
+// is given up, so that no request crosses its close.
+const keepAliveMargin = time.Second
+
+// keepAliveTimeout returns how long the connection may stay idle by the
+// answer's Keep-Alive header, or 0 if it does not say.
+func keepAliveTimeout(h *protocol.ResponseHeader) time.Duration {
+	for part := range strings.SplitSeq(string(h.Peek("Keep-Alive")), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil || seconds < 0 {
+			return 0
+		}
+		return max(time.Duration(seconds)*time.Second-keepAliveMargin, time.Millisecond)
+	}
+	return 0
+}
+
 // send writes the whole request.
 func send(ctx context.Context, cn *conn, r *protocol.Request) *Failure {
 	var src *sourceReader
@@ -242,11 +319,18 @@
 
 // keep puts a clean connection on the idle shelf.
 func (c *Client) keep(cn *conn) {
-	if !c.idle.put(cn, c.opts.MaxIdle, func(cn *conn) { cn.park(c.opts.IdleTimeout) }) {
+	idle := c.opts.IdleTimeout
+	if cn.keepFor > 0 {
+		idle = min(idle, cn.keepFor)
+	}
+	if !c.idle.put(cn, c.opts.MaxIdle, func(cn *conn) { cn.park(idle) }) {
 		cn.abort()
 	}
 }
 
+// Idle reports whether an unused connection to the address is held.
+func (c *Client) Idle(addr string) bool { return c.idle.size(addr) > 0 }
+
 // Open returns the number of open connections.
 func (c *Client) Open() int64 { return c.open.Load() }
 
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -19,6 +19,8 @@
 	shelf *shelf
 	// parked is when the connection was last put on a shelf.
 	parked time.Time
+	// keepFor is how long the other end lets it stay idle; 0 if it did not say.
+	keepFor time.Duration
 	// watch receives, once the connection is taken from its shelf, whether
 	// it stayed silent while it was idle.
 	watch chan bool
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"filbertmill.example/exchange"
+	"filbertmill.example/gateway/balance"
+	"filbertmill.example/node/attempt"
+	"filbertmill.example/outcome"
+	"filbertmill.example/platform"
+	"filbertmill.example/pool"
+)
+
+// end is how one attempt ended.
+type end struct {
+	result
+	verdict pool.Verdict
+	// granted says that the attempt was given a target, and sent that bytes of
+	// the request may have reached it.
+	granted bool
+	sent    bool
+	// notRun says that it is proved that the target did not run the request.
+	notRun bool
+	failed bool
+}
+
+// try asks for a target and runs the request on it once. Granted, if not nil,
+// is called with the target's name before the exchange begins.
+func (n *Node) try(ctx context.Context, r *request, repeat balance.Repeat, exclude []string, granted func(target string)) end {
+	a := balance.Attempt{
+		ID:      balance.ID{Node: n.run, Number: n.attempts.Add(1)},
+		Service: r.service, Route: r.route.Name, Request: r.id, Idempotent: r.idempotent,
+		Priority: r.route.Priority, TimeLeft: time.Until(r.deadline), Exclude: exclude, Repeat: repeat,
+		Fingerprint: r.fingerprint, Prefer: n.connected(r.service),
+	}
+	g, release := n.acquire(ctx, a)
+	if g.Target == "" {
+		res := refused(g.Reason, g.RetryAfter)
+		return end{result: res, notRun: true, failed: true}
+	}
+	t, ok := n.replica.View().Target(r.service, g.Target)
+	if !ok || t.Leaving {
+		release(balance.Report{Verdict: pool.VerdictCancelled, Leaving: t.Leaving})
+		n.log.Info("grant not used: the target is leaving or gone", "request", r.id, "target", g.Target)
+		return end{result: refused(outcome.ReasonNoTarget, minRetryAfter), notRun: true, failed: true, verdict: pool.VerdictRefused}
+	}
+	granted(g.Target)
+	start := time.Now()
+	e, crashed := n.send(ctx, r, t)
+	e.granted, e.target = true, t.ID
+	release(balance.Report{Verdict: e.verdict, Latency: time.Since(start), Crashed: crashed})
+	n.stats.attempts.Add(verdictName(e.verdict), 1)
+	n.log.Debug("attempt ended", "request", r.id, "target", t.ID, "verdict", verdictName(e.verdict),
+		"latency_ms", time.Since(start).Milliseconds(), "repeat", repeat, "detail", e.outcome.Detail)
+	return e
+}
+
+// connected names the targets of a service to which a connection is held.
+func (n *Node) connected(service string) []string {
+	var names []string
+	for _, t := range n.replica.View().Targets[service] {
+		if n.targets.Idle(t.Address) {
+			names = append(names, t.Name())
+		}
+	}
+	return names
+}
+
+// acquire asks for a target. Release must be called if one was granted.
+func (n *Node) acquire(ctx context.Context, a balance.Attempt) (g balance.Grant, release func(balance.Report)) {
+	reply := make(chan balance.Grant, 1)
+	n.local.Submit(a, func(g balance.Grant) { reply <- g })
+	select {
+	case g = <-reply:
+	case <-ctx.Done():
+		n.local.Cancel(a.Service, a.ID)
+		return balance.Grant{Reason: endReason(ctx)}, nil
+	}
+	return g, func(r balance.Report) {
+		r.ID, r.Service = a.ID, a.Service
+		n.local.Finish(r)
+	}
+}
+
+// endReason says why a request ended that no target had.
+func endReason(ctx context.Context) outcome.Reason {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return outcome.ReasonTooLate
+	}
+	return outcome.ReasonCallerLeft
+}
+
+// send runs the request on a target. Crashed says that the target broke off
+// and nothing listens there any more.
+func (n *Node) send(ctx context.Context, r *request, t platform.Target) (e end, crashed bool) {
+	out := r.copyOnward()
+	out.Header.Set(platform.HeaderTimeLeft, platform.FormatTimeLeft(time.Until(r.deadline)))
+	out.Header.Set(platform.HeaderExpectTarget, t.ID)
+	ans, f := n.targets.Do(ctx, exchange.Call{
+		Address: t.Address, Request: out, MaxResponseBytes: r.route.MaxResponseBytes, Unframed: true,
+	})
+	var body []byte
+	if f == nil {
+		var err error
+		body, err = io.ReadAll(ans.Body)
+		_ = ans.Body.Close()
+		if err != nil {
+			f = attempt.AsFailure(err)
+		}
+	}
+	if f != nil {
+		return failedEnd(f), false
+	}
+	return answeredEnd(ans.Response, body), false
+}
+
+// failedEnd is the end of an exchange without a whole answer.
+func failedEnd(f *exchange.Failure) end {
+	return end{
+		result:  result{outcome: outcome.New(attempt.Reason(f), f.Error(), 0)},
+		verdict: attempt.Verdict(f),
+		sent:    !f.NotSent(),
+		notRun:  f.NotSent(),
+		failed:  true,
+	}
+}
+
+// answeredEnd is the end of an exchange with a whole answer.
+func answeredEnd(resp *protocol.Response, body []byte) end {
+	status := resp.StatusCode()
+	if status == platform.StatusMisdirected || len(resp.Header.Peek(platform.HeaderNotRun)) > 0 {
+		e := end{verdict: pool.VerdictRefused, sent: true, notRun: true, failed: true}
+		e.result = refused(outcome.ReasonTargetRefused, platform.ParseRetryAfter(string(resp.Header.Peek(platform.HeaderRetryAfter))))
+		if status == platform.StatusMisdirected {
+			e.verdict = pool.VerdictUnreachable
+		}
+		return e
+	}
+	resp.SetBodyRaw(body)
+	e := end{
+		result:  result{outcome: outcome.New(outcome.ReasonAnswered, "", 0), response: resp},
+		verdict: pool.VerdictAnswered,
+		sent:    true,
+	}
+	if status >= http.StatusInternalServerError {
+		e.verdict, e.failed = pool.VerdictServerError, true
+	}
+	return e
+}
+
+func verdictName(v pool.Verdict) string {
+	names := [...]string{"answered", "server_error", "refused", "unreachable", "reset", "truncated", "timeout", "cancelled"}
+	if int(v) < len(names) {
+		return names[v]
+	}
+	return "undefined"
+}
--- /dev/null
+++ b/gateway/balance/attempt.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"time"
+
+	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
+	"filbertmill.example/pool"
+)
+
+// Repeat says why an attempt follows an earlier one of the same request.
+type Repeat uint8
+
+// The kinds of attempt.
+const (
+	// First is the first attempt of a request.
+	First Repeat = iota
+	// AfterRefusal follows an attempt that its target did not run.
+	AfterRefusal
+	// AfterFailure follows an attempt that failed.
+	AfterFailure
+	// Hedge runs beside an attempt whose answer is overdue.
+	Hedge
+)
+
+// ID identifies an attempt within the fleet.
+type ID struct {
+	// Node is the node that carries the attempt, and Number its own number for it.
+	Node   string `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// Attempt asks for a target.
+type Attempt struct {
+	ID ID `cbor:"1,keyasint"`
+	// Service and Route say where the request belongs; Request is its id as
+	// the caller gave it.
+	Service string `cbor:"2,keyasint"`
+	Route   string `cbor:"3,keyasint"`
+	Request string `cbor:"4,keyasint"`
+	// Idempotent says that the request may be run more than once.
+	Idempotent bool `cbor:"5,keyasint"`
+	// Priority is its rank, 0 first.
+	Priority int `cbor:"6,keyasint"`
+	// TimeLeft is how long the caller still waits.
+	TimeLeft time.Duration `cbor:"7,keyasint"`
+	// Exclude names targets that had the request, Prefer those to which the
+	// node holds a connection.
+	Exclude []string `cbor:"8,keyasint,omitempty"`
+	Prefer  []string `cbor:"9,keyasint,omitempty"`
+	// Repeat says why the attempt is not the request's first.
+	Repeat Repeat `cbor:"10,keyasint,omitempty"`
+	// Fingerprint identifies requests that are the same to a target.
+	Fingerprint poison.Fingerprint `cbor:"11,keyasint"`
+}
+
+// Grant answers an Attempt.
+type Grant struct {
+	// Target names the target to run on; it is empty if there is none.
+	Target string `cbor:"1,keyasint,omitempty"`
+	// Reason says why there is none, and RetryAfter when the caller may ask again.
+	Reason     outcome.Reason `cbor:"2,keyasint,omitempty"`
+	RetryAfter time.Duration  `cbor:"3,keyasint,omitempty"`
+	// Queued says that the attempt still waits.
+	Queued bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Report tells of the end of a granted attempt.
+type Report struct {
+	ID ID `cbor:"1,keyasint"`
+	// Service is the attempt's service.
+	Service string `cbor:"2,keyasint"`
+	// Verdict classifies the end; Latency is the time from the start of the
+	// exchange to its end.
+	Verdict pool.Verdict  `cbor:"3,keyasint"`
+	Latency time.Duration `cbor:"4,keyasint"`
+	// Leaving says that the target announced that it is leaving.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Crashed says that nothing listened at the target after it broke off.
+	Crashed bool `cbor:"6,keyasint,omitempty"`
+}
--- /dev/null
+++ b/gateway/balance/loop.go
@@ -0,0 +1,191 @@
+package balance
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"filbertmill.example/event"
+	"filbertmill.example/gateway/replica"
+	"filbertmill.example/poison"
+	"filbertmill.example/pool"
+	"filbertmill.example/retry"
+)
+
+const (
+	// mailboxSize is the number of commands that wait for the goroutine.
+	mailboxSize = 4096
+	// sweepInterval is how often attempts whose node went silent are given up.
+	sweepInterval = 500 * time.Millisecond
+	// reportGrace is how long after its deadline the end of an attempt may
+	// still be reported.
+	reportGrace = time.Second
+)
+
+// Config holds what a Loop needs.
+type Config struct {
+	// FloorShare is the share of a service's slots below which no ejection may
+	// take its healthy capacity.
+	FloorShare float64
+	// Retries bounds the second attempts that this Loop grants.
+	Retries retry.Config
+	// Seed makes ties repeatable.
+	Seed uint64
+	// Probe asks for a health check of a target, answered by Observe; it is
+	// not called for services that this node is not the home of.
+	Probe func(service string, target string)
+	// IsHome reports whether this node is the home of a service.
+	IsHome func(service string) bool
+	// Log receives the decisions.
+	Log hclog.Logger
+}
+
+// Loop assigns attempts to targets. Its methods may be called from any
+// goroutine; replies come from the Loop's own, and must not block.
+type Loop struct {
+	cfg     Config
+	mailbox chan func(now time.Time)
+	done    chan struct{}
+
+	// All below belongs to the goroutine.
+	view     *replica.View
+	services map[string]*service
+	poison   *poison.Tracker
+	lastID   pool.RequestID
+	swept    time.Time
+}
+
+// New returns a Loop; Run makes it work.
+func New(cfg Config) *Loop {
+	return &Loop{
+		cfg:      cfg,
+		mailbox:  make(chan func(time.Time), mailboxSize),
+		done:     make(chan struct{}),
+		view:     &replica.View{},
+		services: make(map[string]*service),
+		poison:   poison.NewTracker(poison.DefaultConfig()),
+	}
+}
+
+// Run works until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	timer := time.NewTimer(sweepInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-l.mailbox:
+			command(time.Now())
+			l.drainMailbox()
+		case <-timer.C:
+		}
+		timer.Reset(l.tick(time.Now()))
+	}
+}
+
+// drainMailbox runs the commands that are already waiting.
+func (l *Loop) drainMailbox() {
+	for range mailboxSize {
+		select {
+		case command := <-l.mailbox:
+			command(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// tick does what is due and returns the time until more is.
+func (l *Loop) tick(now time.Time) time.Duration {
+	if now.Sub(l.swept) >= sweepInterval {
+		l.swept = now
+		for _, s := range l.services {
+			s.sweep(now)
+		}
+	}
+	wait := sweepInterval
+	for _, s := range l.services {
+		wait = min(wait, s.tick(now))
+	}
+	return max(wait, time.Millisecond)
+}
+
+// send hands a command over; it reports false once the Loop has ended.
+func (l *Loop) send(command func(now time.Time)) bool {
+	select {
+	case l.mailbox <- command:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// SetView brings a new configuration and list of targets into force.
+func (l *Loop) SetView(v *replica.View) {
+	l.send(func(now time.Time) {
+		l.view = v
+		for _, s := range l.services {
+			s.configure(now)
+		}
+	})
+}
+
+// Submit asks for a target. The reply, called once, tells of a grant or a refusal.
+func (l *Loop) Submit(a Attempt, reply func(Grant)) {
+	l.send(func(now time.Time) { l.service(a.Service, now).submit(now, a, reply) })
+}
+
+// Cancel withdraws an attempt, whether it waits or was granted in the meantime.
+func (l *Loop) Cancel(service string, id ID) {
+	l.send(func(now time.Time) { l.service(service, now).cancel(now, id) })
+}
+
+// Finish reports the end of a granted attempt.
+func (l *Loop) Finish(r Report) {
+	l.send(func(now time.Time) { l.service(r.Service, now).finish(now, r) })
+}
+
+// Observe reports the answer to a health check.
+func (l *Loop) Observe(service string, o pool.Observation) {
+	l.send(func(now time.Time) { l.service(service, now).sched.Observe(now, o) })
+}
+
+// Snapshots returns the state of all Schedulers.
+func (l *Loop) Snapshots() []pool.Snapshot {
+	reply := make(chan []pool.Snapshot, 1)
+	sent := l.send(func(now time.Time) {
+		list := make([]pool.Snapshot, 0, len(l.services))
+		for _, s := range l.services {
+			list = append(list, s.sched.Snapshot(now))
+		}
+		reply <- list
+	})
+	if !sent {
+		return nil
+	}
+	select {
+	case list := <-reply:
+		return list
+	case <-l.done:
+		return nil
+	}
+}
+
+// service returns the state of a service, made on first use.
+func (l *Loop) service(name string, now time.Time) *service {
+	s := l.services[name]
+	if s == nil {
+		s = newService(l, name, now)
+		l.services[name] = s
+	}
+	return s
+}
+
+// logEvent writes a decision of a Scheduler.
+func (l *Loop) logEvent(e event.Event) {
+	l.cfg.Log.Info("decision", "kind", e.Kind, "rule", e.Rule, "service", e.Service, "target", e.Target,
+		"request", e.Request, "from", e.From, "to", e.To, "evidence", e.Evidence, "revision", l.view.Revision)
+}
--- /dev/null
+++ b/gateway/balance/service.go
@@ -0,0 +1,225 @@
+package balance
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+	"filbertmill.example/poison"
+	"filbertmill.example/pool"
+	"filbertmill.example/retry"
+)
+
+const (
+	// queueLimit bounds the waiting attempts of one service; deadlines refuse
+	// most long before.
+	queueLimit = 2048
+	// queueWaitShare is the share of an attempt's spare time that it may be
+	// expected to wait. Callers here do not come back after a refusal, so only
+	// what would end after its deadline is refused.
+	queueWaitShare = 0.8
+)
+
+// service is the state of one service; it is the Delegate of its Scheduler.
+type service struct {
+	loop    *Loop
+	name    string
+	sched   pool.Scheduler
+	retries *retry.Budget
+	ids     map[ID]pool.RequestID
+	open    map[pool.RequestID]*open
+}
+
+// open is an attempt that was submitted and not ended.
+type open struct {
+	Attempt
+	deadline time.Time
+	reply    func(Grant)
+	target   string
+	started  time.Time
+}
+
+func newService(l *Loop, name string, now time.Time) *service {
+	s := &service{
+		loop:    l,
+		name:    name,
+		retries: retry.NewBudget(l.cfg.Retries),
+		ids:     make(map[ID]pool.RequestID),
+		open:    make(map[pool.RequestID]*open),
+	}
+	s.sched = pool.NewHome(s.config(), s, l.cfg.Seed)
+	s.configure(now)
+	return s
+}
+
+// config returns the Scheduler's settings.
+func (s *service) config() pool.Config {
+	slots := 0
+	for _, t := range s.loop.view.Targets[s.name] {
+		slots += t.Slots
+	}
+	cfg := pool.DefaultConfig()
+	cfg.Service = s.name
+	cfg.FloorSlots = int(math.Ceil(float64(slots) * s.loop.cfg.FloorShare))
+	cfg.QueueLimit = queueLimit
+	cfg.CallerShare = 1
+	cfg.QueueWaitShare = queueWaitShare
+	return cfg
+}
+
+// configure takes the targets and settings of the view in force.
+func (s *service) configure(now time.Time) {
+	connections := 0
+	if svc := s.loop.view.Service(s.name); svc != nil {
+		connections = svc.Connections
+	}
+	var targets []pool.Target
+	for _, t := range s.loop.view.Targets[s.name] {
+		targets = append(targets, pool.Target{
+			Name: t.Name(), AvailabilityZone: t.AvailabilityZone,
+			Slots: t.Slots, Connections: connections, Leaving: t.Leaving,
+		})
+	}
+	s.sched.SetConfig(now, s.config())
+	s.sched.SetTargets(now, targets)
+}
+
+func (s *service) submit(now time.Time, a Attempt, reply func(Grant)) {
+	if e, refuse := s.loop.poison.Check(now, a.Fingerprint); refuse {
+		s.loop.cfg.Log.Info("request refused: requests like it crash targets",
+			"request", a.Request, "fingerprint", a.Fingerprint, "until", e.Until)
+		reply(Grant{Reason: outcome.ReasonPoison})
+		return
+	}
+	if a.Repeat == First {
+		s.retries.Request(now)
+	} else if !s.retries.Take(now, false) {
+		s.loop.cfg.Log.Info("second attempt refused: the retry budget is spent",
+			"request", a.Request, "service", s.name, "left", s.retries.Left(now))
+		reply(Grant{Reason: outcome.ReasonNoTarget})
+		return
+	}
+	s.loop.lastID++
+	id := s.loop.lastID
+	o := &open{Attempt: a, deadline: now.Add(a.TimeLeft), reply: reply}
+	s.open[id] = o
+	s.ids[a.ID] = id
+	s.sched.Submit(now, pool.Request{
+		ID: id, Route: a.Route, Idempotent: a.Idempotent, Deadline: o.deadline,
+		Priority: a.Priority, Exclude: a.Exclude, Prefer: a.Prefer,
+	})
+}
+
+func (s *service) cancel(now time.Time, id ID) {
+	number, ok := s.ids[id]
+	if !ok {
+		return
+	}
+	o := s.open[number]
+	s.forget(number)
+	if o.target == "" {
+		s.sched.Cancel(now, number)
+		return
+	}
+	s.sched.Finish(now, number, pool.Result{Verdict: pool.VerdictCancelled})
+}
+
+func (s *service) finish(now time.Time, r Report) {
+	number, ok := s.ids[r.ID]
+	if !ok {
+		return
+	}
+	o := s.open[number]
+	s.forget(number)
+	if o.target == "" {
+		s.sched.Cancel(now, number)
+		return
+	}
+	s.sched.Finish(now, number, pool.Result{Verdict: r.Verdict, Latency: r.Latency, Leaving: r.Leaving})
+	s.judgePoison(now, o, r)
+}
+
+// judgePoison tells the poison tracker of a crash or of an answer.
+func (s *service) judgePoison(now time.Time, o *open, r Report) {
+	if r.Verdict == pool.VerdictAnswered {
+		s.loop.poison.Passed(o.Fingerprint)
+		return
+	}
+	if !r.Crashed {
+		return
+	}
+	entry, quarantined := s.loop.poison.Crashed(poison.Report{
+		Fingerprint: o.Fingerprint, Service: s.name, Route: o.Route, Request: o.Request,
+		Crash: poison.Crash{Target: o.target, Started: o.started, Ended: now},
+	})
+	if !quarantined {
+		return
+	}
+	s.loop.cfg.Log.Warn("request quarantined: it crashed targets", "request", o.Request, "fingerprint", o.Fingerprint)
+	for _, c := range entry.Crashes {
+		s.sched.Absolve(now, c.Target, c.Started)
+	}
+}
+
+// forget drops an attempt that has ended.
+func (s *service) forget(number pool.RequestID) {
+	delete(s.ids, s.open[number].ID)
+	delete(s.open, number)
+}
+
+// sweep gives up attempts whose node has not reported their end.
+func (s *service) sweep(now time.Time) {
+	for _, o := range s.open {
+		if now.After(o.deadline.Add(reportGrace)) {
+			s.cancel(now, o.ID)
+		}
+	}
+}
+
+// tick does what is due and returns the time until more is.
+func (s *service) tick(now time.Time) time.Duration {
+	next := s.sched.Next()
+	if !next.IsZero() && !next.After(now) {
+		s.sched.Tick(now)
+		next = s.sched.Next()
+	}
+	if next.IsZero() {
+		return sweepInterval
+	}
+	return next.Sub(now)
+}
+
+// Start implements pool.Delegate.
+func (s *service) Start(id pool.RequestID, target string) {
+	o := s.open[id]
+	o.target = target
+	o.started = time.Now()
+	o.reply(Grant{Target: target})
+}
+
+// Refuse implements pool.Delegate.
+func (s *service) Refuse(id pool.RequestID, r pool.Refusal) {
+	o := s.open[id]
+	s.forget(id)
+	o.reply(Grant{Reason: r.Reason, RetryAfter: r.RetryAfter})
+}
+
+// Probe implements pool.Delegate.
+func (s *service) Probe(target string, origin pool.Origin) {
+	if origin == pool.OriginHome && s.loop.cfg.IsHome(s.name) {
+		s.loop.cfg.Probe(s.name, target)
+	}
+}
+
+// Event implements pool.Delegate. The Scheduler knows attempts by numbers of
+// its own; operators know requests by the ids of the callers.
+func (s *service) Event(e event.Event) {
+	if n, err := strconv.ParseUint(e.Request, 10, 64); err == nil {
+		if o := s.open[pool.RequestID(n)]; o != nil {
+			e.Request = o.Request
+		}
+	}
+	s.loop.logEvent(e)
+}
--- /dev/null
+++ b/gateway/ingress/server.go
@@ -0,0 +1,119 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
+)
+
+// Limits bound what a caller may send; a zero field sets no bound.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound one request, in bytes.
+	HeaderBytes int
+	BodyBytes   int
+	// HeaderTimeout bounds the time in which a header arrives once it has begun.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration
+}
+
+// Request is one request, read to its end.
+type Request struct {
+	*protocol.Request
+	// Received is when its last byte was read.
+	Received time.Time
+}
+
+// Handler answers requests. It may be called for several requests of one
+// connection at once.
+type Handler interface {
+	// Serve returns the answer. The context ends when the caller has left.
+	Serve(ctx context.Context, r *Request) *protocol.Response
+	// Repeatable reports whether a request may be in work before the answers
+	// to earlier ones of its connection are written.
+	Repeatable(r *protocol.Request) bool
+	// Limits returns the limits in force.
+	Limits() Limits
+}
+
+// Server serves callers' connections.
+type Server struct {
+	handler   Handler
+	listener  net.Listener
+	transport network.Transporter
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+// Listen returns a Server on the address; Run makes it serve.
+func Listen(address string, h Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	s := &Server{handler: h, listener: l, conns: make(map[*conn]bool)}
+	s.transport = standard.NewTransporter(&config.Options{Listener: l, Network: "tcp", Addr: address})
+	return s, nil
+}
+
+// Addr returns the address served.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Run accepts connections until Close.
+func (s *Server) Run() error {
+	err := s.transport.ListenAndServe(func(ctx context.Context, c any) error {
+		s.serve(ctx, c.(network.Conn))
+		return nil
+	})
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// InFlight returns the number of requests read and not answered.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Drain has every connection closed behind its next answer that no other
+// request waits for.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseIdle ends the connections on which no request is in work.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	all := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		c.closeIfIdle()
+	}
+}
+
+// StopAccepting closes the listener; open connections go on.
+func (s *Server) StopAccepting() error { return errors.Wrap(s.listener.Close(), "close listener") }
+
+func (s *Server) serve(ctx context.Context, nc network.Conn) {
+	c := newConn(s, nc)
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	c.run(ctx)
+}
--- a/node/burn.go
+++ b/node/burn.go
@@ -10,6 +10,7 @@
 	"filbertmill.example/burn"
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/fleet/control"
+	"filbertmill.example/node/attempt"
 )
 
 // BurnPath is where operators ask for the burn report. Its parameter service
@@ -25,7 +26,7 @@
 func (n *Node) countBurn(now time.Time, r *request, res result, err error) {
 	reason := res.outcome.Reason
 	if err != nil {
-		reason = failureReason(asFailure(err))
+		reason = attempt.Reason(attempt.AsFailure(err))
 	}
 	status := 0
 	if res.response != nil {
--- a/node/entry.go
+++ b/node/entry.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cockroachdb/errors"
 
+	"filbertmill.example/exchange/hop"
 	"filbertmill.example/outcome"
 )
 
@@ -76,7 +77,7 @@
 // answer if the request cannot be served.
 func (n *Node) accept(ctx *app.RequestContext, id string) (*request, result) {
 	h := &ctx.Request.Header
-	if err := checkFraming(h); err != nil {
+	if err := hop.CheckFraming(h); err != nil {
 		ctx.Response.SetConnectionClose()
 		return nil, refused(outcome.ReasonBadRequest, err.Error())
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -15,6 +15,7 @@
 	"filbertmill.example/event"
 	"filbertmill.example/exchange"
 	"filbertmill.example/fleet"
+	"filbertmill.example/node/attempt"
 	"filbertmill.example/outcome"
 )
 
@@ -124,7 +125,7 @@
 	if f == nil {
 		var err error
 		if body, err = readAnswerBody(ans.Body); err != nil {
-			f = asFailure(err)
+			f = attempt.AsFailure(err)
 		}
 	}
 	if f != nil {
--- a/node/headers.go
+++ b/node/headers.go
@@ -1,15 +1,13 @@
 package node
 
 import (
-	"bytes"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
-	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/exchange"
+	"filbertmill.example/exchange/hop"
 	"filbertmill.example/outcome"
 )
 
@@ -45,102 +43,21 @@
 	hopGaveUp = hopPrefix + "Gave-Up"
 )
 
-// hopByHop lists the headers that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Upgrade", "Transfer-Encoding", "Trailer",
-}
-
-var (
-	errLengths = errors.New("the request states its length more than once or in conflicting ways")
-	errHosts   = errors.New("the request has more than one Host header")
-	errCoding  = errors.New("the request has a transfer coding other than chunked")
-)
-
-// checkFraming refuses requests whose end two readers could see differently.
-func checkFraming(h *protocol.RequestHeader) error {
-	var lengths, codings, hosts int
-	s := ext.HeaderScanner{B: h.RawHeaders()}
-	for s.Next() {
-		switch strings.ToLower(string(s.Key)) {
-		case "content-length":
-			lengths++
-		case "transfer-encoding":
-			codings++
-			if !bytes.EqualFold(s.Value, []byte("chunked")) {
-				return errCoding
-			}
-		case "host":
-			hosts++
-		}
-	}
-	switch {
-	case lengths > 1 || codings > 1 || lengths+codings > 1:
-		return errLengths
-	case hosts > 1:
-		return errHosts
-	}
-	return nil
-}
-
 // onwardRequest returns a request for the next hop with the caller's method,
 // URI and end-to-end headers, and without a body.
 func onwardRequest(h *protocol.RequestHeader) *protocol.Request {
-	r := &protocol.Request{}
-	h.CopyTo(&r.Header)
-	r.Header.SetRequestURIBytes(h.RequestURI())
-	stripRequest(&r.Header)
+	r := hop.Onward(h)
+	r.Header.Del(exchange.AttemptHeader)
+	hop.DeletePrefix(&r.Header, hopPrefix)
 	return r
 }
 
-// stripRequest removes the headers that must not be passed on.
-func stripRequest(h *protocol.RequestHeader) {
-	for _, name := range connectionOptions(string(h.Peek("Connection"))) {
-		h.Del(name)
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-	var internal []string
-	h.VisitAll(func(key, _ []byte) {
-		if strings.HasPrefix(string(key), hopPrefix) {
-			internal = append(internal, string(key))
-		}
-	})
-	for _, name := range internal {
-		h.Del(name)
-	}
-	h.Del(exchange.AttemptHeader)
-	h.Del("Expect")
-	h.SetConnectionClose(false)
-}
-
 // stripResponse removes the headers that must not be passed on.
 func stripResponse(h *protocol.ResponseHeader) {
-	for _, name := range connectionOptions(string(h.Peek("Connection"))) {
+	hop.StripResponse(h)
+	for _, name := range []string{exchange.AttemptHeader, outcome.ReasonHeader, outcome.Header, hopHome, hopGaveUp} {
 		h.Del(name)
 	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-	h.Del(exchange.AttemptHeader)
-	h.Del(outcome.ReasonHeader)
-	h.Del(outcome.Header)
-	h.Del(hopHome)
-	h.Del(hopGaveUp)
-	h.SetConnectionClose(false)
-}
-
-// connectionOptions returns the header names that a Connection header lists.
-func connectionOptions(value string) []string {
-	var names []string
-	for _, name := range strings.Split(value, ",") {
-		name = strings.TrimSpace(name)
-		if name != "" && !strings.EqualFold(name, "close") && !strings.EqualFold(name, "keep-alive") {
-			names = append(names, name)
-		}
-	}
-	return names
 }
 
 // addVia appends this hop to the Via header.
--- a/node/home.go
+++ b/node/home.go
@@ -9,6 +9,7 @@
 
 	"filbertmill.example/event"
 	"filbertmill.example/exchange"
+	"filbertmill.example/node/attempt"
 	"filbertmill.example/outcome"
 	"filbertmill.example/pool"
 )
@@ -16,8 +17,8 @@
 // maxAttempts is the most targets that one request is offered to.
 const maxAttempts = 3
 
-// attempt is the end of one try on one target.
-type attempt struct {
+// targetAttempt is the end of one try on one target.
+type targetAttempt struct {
 	target  string
 	verdict pool.Verdict
 	leaving bool
@@ -96,7 +97,7 @@
 }
 
 // unsent reports whether no byte of the request was written.
-func (a *attempt) unsent() bool {
+func (a *targetAttempt) unsent() bool {
 	return a.failure != nil && a.failure.NotSent()
 }
 
@@ -135,8 +136,8 @@
 }
 
 // try runs the request once on the granted target.
-func (n *Node) try(ctx context.Context, r *request, g grant, id pool.RequestID) attempt {
-	a := attempt{target: g.target, start: time.Now(), id: id}
+func (n *Node) try(ctx context.Context, r *request, g grant, id pool.RequestID) targetAttempt {
+	a := targetAttempt{target: g.target, start: time.Now(), id: id}
 	out := r.copyOnward()
 	out.Header.Set(headerTimeout, strconv.FormatInt(r.timeLeft(a.start), 10))
 	out.Header.Set(headerRequestID, r.id)
@@ -151,12 +152,12 @@
 	if a.failure == nil {
 		body, err := readAnswerBody(a.answer.Body)
 		if err != nil {
-			a.failure = asFailure(err)
+			a.failure = attempt.AsFailure(err)
 		}
 		a.body = body
 	}
 	if a.failure != nil {
-		a.verdict = failureVerdict(a.failure)
+		a.verdict = attempt.Verdict(a.failure)
 		a.crashed = a.verdict == pool.VerdictReset && isDown(g.address)
 		return a
 	}
@@ -165,29 +166,6 @@
 	return a
 }
 
-// asFailure returns the Failure that a Body's Read reported.
-func asFailure(err error) *exchange.Failure {
-	if f, ok := err.(*exchange.Failure); ok {
-		return f
-	}
-	return &exchange.Failure{Stage: exchange.StageReceive, Cause: exchange.CauseConnection, Err: err}
-}
-
-// failureVerdict classifies an exchange without a whole answer.
-func failureVerdict(f *exchange.Failure) pool.Verdict {
-	switch {
-	case f.Cause == exchange.CauseCancelled || f.Cause == exchange.CauseRequestBody:
-		return pool.VerdictCancelled
-	case f.Cause == exchange.CauseTimeout:
-		return pool.VerdictTimeout
-	case f.Stage == exchange.StageDial:
-		return pool.VerdictUnreachable
-	case f.Stage == exchange.StageReceive:
-		return pool.VerdictTruncated
-	}
-	return pool.VerdictReset
-}
-
 // statusVerdict classifies a whole answer.
 func statusVerdict(status int, refusal []int) pool.Verdict {
 	for _, s := range refusal {
@@ -202,9 +180,9 @@
 }
 
 // conclude says what the caller is told if the attempt was the last.
-func (n *Node) conclude(r *request, a attempt) result {
+func (n *Node) conclude(r *request, a targetAttempt) result {
 	if a.failure != nil {
-		reason := failureReason(a.failure)
+		reason := attempt.Reason(a.failure)
 		return result{
 			outcome: outcome.New(reason, a.failure.Error(), 0),
 			settle:  func(error) { n.finish(r, a, nil) },
@@ -224,23 +202,6 @@
 	}
 }
 
-// failureReason maps an exchange's failure to the reason that callers are given.
-func failureReason(f *exchange.Failure) outcome.Reason {
-	switch {
-	case f.NotSent() && f.Cause == exchange.CauseCancelled:
-		return outcome.ReasonCallerLeft
-	case f.NotSent():
-		return outcome.ReasonUnreachable
-	case f.Cause == exchange.CauseTimeout:
-		return outcome.ReasonTimeout
-	case f.Cause == exchange.CauseCancelled, f.Cause == exchange.CauseRequestBody:
-		return outcome.ReasonCallerLeft
-	case f.Stage == exchange.StageReceive:
-		return outcome.ReasonIncompleteAnswer
-	}
-	return outcome.ReasonConnectionLost
-}
-
 // retryAfter returns the wait that a target advises, or 0.
 func retryAfter(r *protocol.Response) time.Duration {
 	seconds, err := strconv.Atoi(string(r.Header.Peek(headerRetryAfter)))
@@ -252,10 +213,10 @@
 
 // finish reports the end of an attempt to the Scheduler. A non-nil err says
 // that the answer's body broke off while it was passed on.
-func (n *Node) finish(r *request, a attempt, err error) {
+func (n *Node) finish(r *request, a targetAttempt, err error) {
 	verdict := a.verdict
 	if err != nil {
-		verdict = failureVerdict(asFailure(err))
+		verdict = attempt.Verdict(attempt.AsFailure(err))
 	}
 	if a.answer != nil {
 		_ = a.answer.Body.Close()
--- a/node/idempotencykey.go
+++ b/node/idempotencykey.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cockroachdb/errors"
 
+	"filbertmill.example/config/routing"
 	"filbertmill.example/once"
 	"filbertmill.example/outcome"
 )
@@ -51,7 +52,7 @@
 	if err != nil || key == "" || r.idempotent {
 		return err
 	}
-	r.key = once.Key(hostName(string(h.Host()))) + "/" + key
+	r.key = once.Key(routing.HostName(string(h.Host()))) + "/" + key
 	return nil
 }
 
--- a/node/poison.go
+++ b/node/poison.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"filbertmill.example/config/routing"
 	"filbertmill.example/event"
 	"filbertmill.example/outcome"
 	"filbertmill.example/poison"
@@ -29,7 +30,7 @@
 // port of whichever node they came to.
 func (r *request) fingerprint() poison.Fingerprint {
 	h := &r.onward.Header
-	return poison.NewFingerprint(string(h.Method()), hostName(string(h.Host())), string(h.RequestURI()), r.body.digest())
+	return poison.NewFingerprint(string(h.Method()), routing.HostName(string(h.Host())), string(h.RequestURI()), r.body.digest())
 }
 
 // digest returns xxhash of the body; of a large one, of its start and length.
--- a/node/retry.go
+++ b/node/retry.go
@@ -21,7 +21,7 @@
 // mayRetry reports whether the request may be offered to another target, and
 // takes the attempt from the service's budget if so. Tried is the number of
 // targets that have failed it.
-func (n *Node) mayRetry(ctx context.Context, r *request, a attempt, tried int) bool {
+func (n *Node) mayRetry(ctx context.Context, r *request, a targetAttempt, tried int) bool {
 	if ctx.Err() != nil || !a.repeatable(r) {
 		return false
 	}
@@ -38,13 +38,13 @@
 }
 
 // notRun reports whether it is proved that the target did not run the request.
-func (a *attempt) notRun() bool {
+func (a *targetAttempt) notRun() bool {
 	return a.verdict == pool.VerdictUnreachable || a.verdict == pool.VerdictRefused
 }
 
 // repeatable reports whether another attempt can neither run the request
 // twice against its will nor mix two answers.
-func (a *attempt) repeatable(r *request) bool {
+func (a *targetAttempt) repeatable(r *request) bool {
 	if a.body != nil && a.body.stream != nil {
 		return false
 	}
--- a/node/routes.go
+++ b/node/routes.go
@@ -1,21 +1,16 @@
 package node
 
 import (
-	"net"
-	"strings"
-
 	"filbertmill.example/config/dynamic"
+	"filbertmill.example/config/routing"
 	"filbertmill.example/outcome"
 )
 
-// anyHost is the host pattern that matches every host.
-const anyHost = "*"
-
 // routeTable finds the route of a request. It is immutable.
 type routeTable struct {
 	// configured says that a configuration is in force, if only an empty one.
 	configured bool
-	byHost     map[string]*prefixes
+	table      *routing.Table
 	byName     map[string]*dynamic.Route
 	services   map[string]*dynamic.Service
 	targets    map[string]*dynamic.Target
@@ -25,7 +20,7 @@
 func newRouteTable(cfg *dynamic.Config) *routeTable {
 	t := &routeTable{
 		configured: true,
-		byHost:     make(map[string]*prefixes),
+		table:      routing.NewTable(cfg),
 		byName:     make(map[string]*dynamic.Route, len(cfg.Routes)),
 		services:   make(map[string]*dynamic.Service),
 		targets:    make(map[string]*dynamic.Target),
@@ -37,35 +32,17 @@
 		t.services[cfg.Services[i].Name] = &cfg.Services[i]
 	}
 	for i := range cfg.Routes {
-		t.addRoute(&cfg.Routes[i])
+		t.byName[cfg.Routes[i].Name] = &cfg.Routes[i]
 	}
 	return t
 }
 
-func (t *routeTable) addRoute(r *dynamic.Route) {
-	t.byName[r.Name] = r
-	host := strings.ToLower(r.Host)
-	if t.byHost[host] == nil {
-		t.byHost[host] = &prefixes{routes: make(map[string]*dynamic.Route)}
-	}
-	t.byHost[host].add(r)
-}
-
-// match returns the route with the longest prefix among those of the host, or
-// else among those of any host; nil if none matches.
+// match returns the route of a request, or nil.
 func (t *routeTable) match(host, path string) *dynamic.Route {
-	if r := t.byHost[hostName(host)].match(path); r != nil {
-		return r
-	}
-	return t.byHost[anyHost].match(path)
-}
-
-// hostName returns the host name of a Host header, without the port.
-func hostName(host string) string {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
+	if t.table == nil {
+		return nil
 	}
-	return strings.ToLower(host)
+	return t.table.Match(host, path)
 }
 
 // route returns the route with the given name, or nil.
--- a/node/routes_test.go
+++ b/node/routes_test.go
@@ -15,7 +15,7 @@
 	cfg := &dynamic.Config{}
 	for i := range n {
 		cfg.Routes = append(cfg.Routes, dynamic.Route{
-			Name: fmt.Sprintf("r%05d", i), Host: anyHost,
+			Name: fmt.Sprintf("r%05d", i), Host: "*",
 			PathPrefix: fmt.Sprintf("/workspace/%05d/bookings", i), Service: "s",
 		})
 	}
@@ -82,11 +82,11 @@
 func TestMatchRoute(t *testing.T) {
 	var cfg dynamic.Config
 	for i, r := range []struct{ host, prefix string }{
-		{anyHost, "/"},
-		{anyHost, "/book"},
-		{anyHost, "/book/van/"},
-		{anyHost, "/book/van"},
-		{anyHost, "/book//late"},
+		{"*", "/"},
+		{"*", "/book"},
+		{"*", "/book/van/"},
+		{"*", "/book/van"},
+		{"*", "/book//late"},
 		{"Gate.example", "/book"},
 		{"gate.example", "/book/van/today"},
 	} {
--- a/pool/config.go
+++ b/pool/config.go
@@ -9,7 +9,8 @@
 const (
 	// OrderFIFO starts the attempt that has waited longest.
 	OrderFIFO Order = "fifo"
-	// OrderEDF starts the attempt with the earliest deadline.
+	// OrderEDF starts the attempt of the best priority, among those the one
+	// with the earliest deadline.
 	OrderEDF Order = "edf"
 	// OrderLIFO starts the newest attempt while the queue is overloaded and
 	// the oldest otherwise.
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -113,18 +113,19 @@
 	return nil
 }
 
-// mostFree returns the fit target with the most free slots; among equals it
-// chooses at random.
+// mostFree returns the fit target with the most free slots; among equals one
+// that the attempt prefers, or else one at random.
 func (h *home) mostFree(now time.Time, a *attempt, fit func(*target) bool) *target {
 	var best *target
-	most, ties := 0, 0
+	var most rankOfTarget
+	ties := 0
 	for _, t := range h.order {
-		free := t.free(now)
-		if free == 0 || free < most || !fit(t) || slices.Contains(a.Exclude, t.Name) {
+		r := rankOfTarget{free: t.free(now), preferred: slices.Contains(a.Prefer, t.Name)}
+		if r.free == 0 || r.less(most) || !fit(t) || slices.Contains(a.Exclude, t.Name) {
 			continue
 		}
-		if free > most {
-			best, most, ties = t, free, 1
+		if most.less(r) {
+			best, most, ties = t, r, 1
 			continue
 		}
 		ties++
@@ -135,6 +136,20 @@
 	return best
 }
 
+// rankOfTarget orders fit targets for one attempt.
+type rankOfTarget struct {
+	free      int
+	preferred bool
+}
+
+// less reports whether r is a worse choice than other.
+func (r rankOfTarget) less(other rankOfTarget) bool {
+	if r.free != other.free {
+		return r.free < other.free
+	}
+	return !r.preferred && other.preferred
+}
+
 // start gives a to t.
 func (h *home) start(now time.Time, a *attempt, t *target) {
 	a.started = now
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -83,7 +83,12 @@
 	switch {
 	case o == OrderEDF:
 		sorted := slices.Clone(q.waiting)
-		slices.SortStableFunc(sorted, func(a, b *attempt) int { return a.Deadline.Compare(b.Deadline) })
+		slices.SortStableFunc(sorted, func(a, b *attempt) int {
+			if a.Priority != b.Priority {
+				return a.Priority - b.Priority
+			}
+			return a.Deadline.Compare(b.Deadline)
+		})
 		return sorted
 	case o == OrderLIFO && len(q.waiting) > 0 && now.Sub(q.waiting[0].submitted) > overloadWait:
 		reversed := slices.Clone(q.waiting)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -28,8 +28,13 @@
 	Idempotent bool
 	// Deadline is when the caller's interest ends.
 	Deadline time.Time
+	// Priority is the rank in which waiting attempts start, 0 first.
+	Priority int
 	// Exclude names targets that have already failed this request.
 	Exclude []string
+	// Prefer names targets that are cheaper to reach for whoever runs the
+	// attempt; they win among equals.
+	Prefer []string
 }
 
 // Verdict classifies the end of an attempt.
