gateway: homes grant targets by belief; one relay a zone follows the store

Cause: a node alone sees a target too seldom to notice a gray failure of a few seconds, and the statistics of pool.NewHome need three failures and eject for longer than such a failure lasts. pool.NewSteered holds a probability for each target that every answer of the fleet changes, and homes on relays share it.

--- a/fleet/control/conn.go
+++ b/fleet/control/conn.go
@@ -14,8 +14,12 @@
 const (
 	writeTimeout   = 5 * time.Second
 	handlerTimeout = 10 * time.Second
-	// maxHandlers bounds the messages of one connection that are handled at once.
-	maxHandlers = 16
+	// maxHandlers bounds the messages of one connection that are handled at
+	// once; some wait for a target, so there are more than a node's processor needs.
+	maxHandlers = 128
+	// silenceMax is the time without a message after which an unanswered call
+	// means a connection that is dead one way.
+	silenceMax = 600 * time.Millisecond
 )
 
 // ErrClosed reports a connection or transport that has ended.
@@ -46,6 +50,7 @@
 	nextID   uint64
 	done     chan struct{}
 	lastUse  atomic.Int64
+	lastRead atomic.Int64
 	handlers chan struct{}
 }
 
@@ -65,11 +70,19 @@
 		handlers: make(chan struct{}, maxHandlers),
 	}
 	c.touch()
+	c.lastRead.Store(time.Now().UnixNano())
 	return c
 }
 
 func (c *conn) touch() { c.lastUse.Store(time.Now().UnixNano()) }
 
+// closeIfSilent ends a connection on which nothing has arrived lately.
+func (c *conn) closeIfSilent(now time.Time) {
+	if now.Sub(time.Unix(0, c.lastRead.Load())) >= silenceMax {
+		c.ws.CloseNow()
+	}
+}
+
 func (c *conn) idle(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, c.lastUse.Load()))
 }
@@ -87,6 +100,7 @@
 		if err != nil {
 			return
 		}
+		c.lastRead.Store(time.Now().UnixNano())
 		c.t.stats.receivedMessages.Add(1)
 		c.t.stats.receivedBytes.Add(int64(len(frame)))
 		data, err := c.in.open(frame)
--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -30,7 +30,7 @@
 
 // Peer says what is needed to reach a node.
 type Peer struct {
-	// Name identifies the node.
+	// Name identifies the node; empty accepts any node at the address.
 	Name string `cbor:"1,keyasint" json:"name"`
 	// AvailabilityZone and Region are where it runs.
 	AvailabilityZone string `cbor:"2,keyasint" json:"availability_zone"`
@@ -164,8 +164,7 @@
 	}
 	e, err := c.call(ctx, kind, body)
 	if err != nil {
-		// An unanswered call may mean a connection that is dead one way.
-		c.ws.CloseNow()
+		c.closeIfSilent(time.Now())
 		return err
 	}
 	if e.Error != "" {
@@ -197,7 +196,7 @@
 		case <-l.conn.done:
 			l.conn = nil
 		default:
-			if l.conn.peer == to.Name {
+			if to.Name == "" || l.conn.peer == to.Name {
 				return l.conn, nil
 			}
 			l.conn.ws.CloseNow()
@@ -266,7 +265,7 @@
 	}
 	ws.SetReadLimit(maxHandshakeBytes)
 	s, err := handshake(ctx, ws, roleDialer, t.cfg.Name, t.cfg.Key)
-	if err == nil && s.peer != to.Name {
+	if err == nil && to.Name != "" && s.peer != to.Name {
 		err = errors.Newf("%s answers as %s", to.ControlAddress, s.peer)
 	}
 	if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,26 +36,34 @@
 		ID:      balance.ID{Node: n.run, Number: n.attempts.Add(1)},
 		Service: r.service, Route: r.route.Name, Request: r.id, Idempotent: r.idempotent,
 		Priority: r.route.Priority, TimeLeft: time.Until(r.deadline), Exclude: exclude, Repeat: repeat,
-		Fingerprint: r.fingerprint, Prefer: n.connected(r.service),
+		Fingerprint: r.fingerprint, Prefer: n.connected(r.service), Avoid: n.paths.bad(time.Now()),
+		DueLeft: time.Until(r.due), AvailabilityZone: n.settings.AvailabilityZone,
 	}
-	g, release := n.acquire(ctx, a)
-	if g.Target == "" {
-		res := refused(g.Reason, g.RetryAfter)
-		return end{result: res, notRun: true, failed: true}
+	lease, err := n.homes.Acquire(ctx, a)
+	if err != nil {
+		return end{result: refused(endReason(ctx), 0), notRun: true, failed: true}
 	}
-	t, ok := n.replica.View().Target(r.service, g.Target)
+	if lease.Target == "" {
+		return end{result: refused(lease.Reason, lease.RetryAfter), notRun: true, failed: true}
+	}
+	finish := func(rep balance.Report) {
+		rep.ID, rep.Service = a.ID, a.Service
+		lease.Finish(rep)
+	}
+	t, ok := n.replica.View().Target(r.service, lease.Target)
 	if !ok || t.Leaving {
-		release(balance.Report{Verdict: pool.VerdictCancelled, Leaving: t.Leaving})
-		n.log.Info("grant not used: the target is leaving or gone", "request", r.id, "target", g.Target)
+		finish(balance.Report{Verdict: pool.VerdictCancelled, Leaving: t.Leaving})
+		n.log.Info("grant not used: the target is leaving or gone", "request", r.id, "target", lease.Target, "home", lease.Home)
 		return end{result: refused(outcome.ReasonNoTarget, minRetryAfter), notRun: true, failed: true, verdict: pool.VerdictRefused}
 	}
-	granted(g.Target)
+	granted(lease.Target)
 	start := time.Now()
 	e, crashed := n.send(ctx, r, t)
 	e.granted, e.target = true, t.ID
-	release(balance.Report{Verdict: e.verdict, Latency: time.Since(start), Crashed: crashed})
+	n.paths.note(time.Now(), lease.Target, e.verdict)
+	finish(balance.Report{Verdict: e.verdict, Latency: time.Since(start), Crashed: crashed})
 	n.stats.attempts.Add(verdictName(e.verdict), 1)
-	n.log.Debug("attempt ended", "request", r.id, "target", t.ID, "verdict", verdictName(e.verdict),
+	n.log.Debug("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", verdictName(e.verdict),
 		"latency_ms", time.Since(start).Milliseconds(), "repeat", repeat, "detail", e.outcome.Detail)
 	return e
 }
@@ -71,22 +79,6 @@
 	return names
 }
 
-// acquire asks for a target. Release must be called if one was granted.
-func (n *Node) acquire(ctx context.Context, a balance.Attempt) (g balance.Grant, release func(balance.Report)) {
-	reply := make(chan balance.Grant, 1)
-	n.local.Submit(a, func(g balance.Grant) { reply <- g })
-	select {
-	case g = <-reply:
-	case <-ctx.Done():
-		n.local.Cancel(a.Service, a.ID)
-		return balance.Grant{Reason: endReason(ctx)}, nil
-	}
-	return g, func(r balance.Report) {
-		r.ID, r.Service = a.ID, a.Service
-		n.local.Finish(r)
-	}
-}
-
 // endReason says why a request ended that no target had.
 func endReason(ctx context.Context) outcome.Reason {
 	if context.Cause(ctx) == context.DeadlineExceeded {
--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -50,6 +50,12 @@
 	Prefer  []string `cbor:"9,keyasint,omitempty"`
 	// Repeat says why the attempt is not the request's first.
 	Repeat Repeat `cbor:"10,keyasint,omitempty"`
+	// DueLeft is how long an answer is worth most to the caller.
+	DueLeft time.Duration `cbor:"12,keyasint"`
+	// Avoid names targets that the node lately failed to reach.
+	Avoid []string `cbor:"13,keyasint,omitempty"`
+	// AvailabilityZone is where the node runs.
+	AvailabilityZone string `cbor:"14,keyasint"`
 	// Fingerprint identifies requests that are the same to a target.
 	Fingerprint poison.Fingerprint `cbor:"11,keyasint"`
 }
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -16,10 +16,6 @@
 	// queueLimit bounds the waiting attempts of one service; deadlines refuse
 	// most long before.
 	queueLimit = 2048
-	// queueWaitShare is the share of an attempt's spare time that it may be
-	// expected to wait. Callers here do not come back after a refusal, so only
-	// what would end after its deadline is refused.
-	queueWaitShare = 0.8
 )
 
 // service is the state of one service; it is the Delegate of its Scheduler.
@@ -49,7 +45,7 @@
 		ids:     make(map[ID]pool.RequestID),
 		open:    make(map[pool.RequestID]*open),
 	}
-	s.sched = pool.NewHome(s.config(), s, l.cfg.Seed)
+	s.sched = pool.NewSteered(s.config(), s, l.cfg.Seed)
 	s.configure(now)
 	return s
 }
@@ -64,8 +60,6 @@
 	cfg.Service = s.name
 	cfg.FloorSlots = int(math.Ceil(float64(slots) * s.loop.cfg.FloorShare))
 	cfg.QueueLimit = queueLimit
-	cfg.CallerShare = 1
-	cfg.QueueWaitShare = queueWaitShare
 	return cfg
 }
 
@@ -108,7 +102,8 @@
 	s.ids[a.ID] = id
 	s.sched.Submit(now, pool.Request{
 		ID: id, Route: a.Route, Idempotent: a.Idempotent, Deadline: o.deadline,
-		Priority: a.Priority, Exclude: a.Exclude, Prefer: a.Prefer,
+		Due: now.Add(min(a.DueLeft, a.TimeLeft)), Priority: a.Priority, Exclude: a.Exclude, Prefer: a.Prefer,
+		Avoid: a.Avoid, AvailabilityZone: a.AvailabilityZone,
 	})
 }
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -19,6 +19,7 @@
 	end := start.Add(max(n.settings.Bounds.Shutdown-exitMargin, noticeTime))
 	n.draining.Store(true)
 	n.log.Info("stopping", "in_flight", n.callers.InFlight(), "until", end)
+	n.follower.Leave()
 	n.callers.Drain()
 	time.Sleep(noticeTime)
 	if err := n.callers.StopAccepting(); err != nil {
--- /dev/null
+++ b/gateway/homes/server.go
@@ -0,0 +1,139 @@
+package homes
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/fleet/control"
+	"filbertmill.example/gateway/balance"
+)
+
+// The messages to a home.
+const (
+	// kindSubmit asks for a target: a balance.Attempt, answered by a Grant.
+	kindSubmit control.Kind = "submit"
+	// kindAwait asks again for an attempt that was queued: a reference.
+	kindAwait control.Kind = "await"
+	// kindCancel withdraws an attempt: a reference.
+	kindCancel control.Kind = "cancel"
+	// kindFinish reports the end of an attempt: a balance.Report.
+	kindFinish control.Kind = "finish"
+)
+
+const (
+	// holdTime is how long the home holds a question about a queued attempt;
+	// its answer also shows that the home lives.
+	holdTime = 100 * time.Millisecond
+	// abandonTime is how long a queued attempt stays although nobody asks for it.
+	abandonTime = time.Second
+)
+
+// reference names an attempt.
+type reference struct {
+	Service string     `cbor:"1,keyasint"`
+	ID      balance.ID `cbor:"2,keyasint"`
+}
+
+var errUnknownAttempt = errors.New("the home does not know the attempt")
+
+// Server answers other nodes as the home of services.
+type Server struct {
+	loop *balance.Loop
+
+	mu     sync.Mutex
+	queued map[balance.ID]*queued
+}
+
+// queued is an attempt that waits for a target.
+type queued struct {
+	reply   chan balance.Grant
+	abandon *time.Timer
+}
+
+// Serve has the Loop answer what other nodes ask over the Transport.
+func Serve(loop *balance.Loop, t *control.Transport) *Server {
+	s := &Server{loop: loop, queued: make(map[balance.ID]*queued)}
+	t.Handle(kindSubmit, s.submit)
+	t.Handle(kindAwait, s.await)
+	t.Handle(kindCancel, s.cancel)
+	t.Handle(kindFinish, s.finish)
+	return s
+}
+
+func (s *Server) submit(ctx context.Context, _ string, body []byte) (any, error) {
+	var a balance.Attempt
+	if err := control.Unmarshal(body, &a); err != nil {
+		return nil, err
+	}
+	q := &queued{reply: make(chan balance.Grant, 1)}
+	s.loop.Submit(a, func(g balance.Grant) { q.reply <- g })
+	return s.hold(ctx, reference{a.Service, a.ID}, q), nil
+}
+
+func (s *Server) await(ctx context.Context, _ string, body []byte) (any, error) {
+	var ref reference
+	if err := control.Unmarshal(body, &ref); err != nil {
+		return nil, err
+	}
+	q := s.take(ref.ID)
+	if q == nil {
+		return nil, errUnknownAttempt
+	}
+	return s.hold(ctx, ref, q), nil
+}
+
+// hold waits for the Loop's answer; an attempt that is still queued is kept
+// for the next question.
+func (s *Server) hold(ctx context.Context, ref reference, q *queued) balance.Grant {
+	timer := time.NewTimer(holdTime)
+	defer timer.Stop()
+	select {
+	case g := <-q.reply:
+		return g
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued[ref.ID] = q
+	q.abandon = time.AfterFunc(abandonTime, func() {
+		if s.take(ref.ID) != nil {
+			s.loop.Cancel(ref.Service, ref.ID)
+		}
+	})
+	return balance.Grant{Queued: true}
+}
+
+// take removes a queued attempt, or returns nil.
+func (s *Server) take(id balance.ID) *queued {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.queued[id]
+	if q != nil {
+		delete(s.queued, id)
+		q.abandon.Stop()
+	}
+	return q
+}
+
+func (s *Server) cancel(_ context.Context, _ string, body []byte) (any, error) {
+	var ref reference
+	if err := control.Unmarshal(body, &ref); err != nil {
+		return nil, err
+	}
+	s.take(ref.ID)
+	s.loop.Cancel(ref.Service, ref.ID)
+	return nil, nil
+}
+
+func (s *Server) finish(_ context.Context, _ string, body []byte) (any, error) {
+	var r balance.Report
+	if err := control.Unmarshal(body, &r); err != nil {
+		return nil, err
+	}
+	s.loop.Finish(r)
+	return nil, nil
+}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -13,8 +15,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"filbertmill.example/exchange"
+	"filbertmill.example/fleet/control"
 	"filbertmill.example/gateway/balance"
 	"filbertmill.example/gateway/follow"
+	"filbertmill.example/gateway/homes"
 	"filbertmill.example/gateway/ingress"
 	"filbertmill.example/gateway/replica"
 	"filbertmill.example/platform"
@@ -36,18 +40,25 @@
 	settings *platform.Settings
 	log      hclog.Logger
 	// run tells this run of the process from others on the same host.
-	run      string
-	store    *platform.Client
-	replica  *replica.Replica
-	follower *follow.Follower
-	local    *balance.Loop
+	run       string
+	store     *platform.Client
+	replica   *replica.Replica
+	follower  *follow.Follower
+	transport *control.Transport
+	// shared decides for the fleet where this node is a home, alone for this
+	// node while no home answers.
+	shared *balance.Loop
+	alone  *balance.Loop
+	homes  *homes.Client
 	// targets carries requests, probes health checks, whose answers name no request.
 	targets  *exchange.Client
 	probes   *exchange.Client
 	callers  *ingress.Server
+	control  net.Listener
 	ready    *readiness
 	stats    *stats
 	attempts atomic.Uint64
+	paths    *paths
 	draining atomic.Bool
 }
 
@@ -60,6 +71,7 @@
 		run:      settings.Name + "/" + strconv.FormatUint(rand.Uint64(), 36),
 		replica:  replica.New(log),
 		stats:    newStats(),
+		paths:    newPaths(),
 	}
 	n.store = platform.NewClient(settings.StoreAddress, n.stats.countStoreCall)
 	n.targets = exchange.NewClient(exchange.Options{
@@ -67,41 +79,85 @@
 		Echo: exchange.EchoOwn, EchoHeader: platform.HeaderRequestID,
 	})
 	n.probes = exchange.NewClient(exchange.Options{DialTimeout: dialTimeout, Echo: exchange.EchoNone})
-	n.follower = follow.New(follow.Config{Store: n.store, Replica: n.replica, Log: log})
-	n.local = balance.New(balance.Config{
-		FloorShare: settings.Bounds.FloorShare,
-		Retries:    retry.Config{Share: settings.Bounds.RetryRatio, Floor: localRetryFloor},
-		Seed:       xxhash.Sum64String(settings.Name),
-		Probe:      n.probe,
-		IsHome:     func(string) bool { return false },
-		Log:        log,
-	})
+	if err := n.joinFleet(); err != nil {
+		return nil, err
+	}
 	var err error
 	if n.callers, err = ingress.Listen(settings.CallerAddress, n); err != nil {
 		return nil, err
 	}
+	if n.control, err = net.Listen("tcp", settings.ControlAddress); err != nil {
+		return nil, errors.Wrap(err, "listen for nodes")
+	}
 	if n.ready, err = listenReady(settings.ReadyAddress, n.isReady); err != nil {
 		return nil, err
 	}
 	return n, nil
 }
 
-// localRetryFloor is the number of second attempts that a node grants in each
-// window whatever its requests, while no home answers: the floors of all nodes
-// together must stay within the fleet's.
-const localRetryFloor = 1
+// joinFleet prepares what this node does with others.
+func (n *Node) joinFleet() error {
+	s := n.settings
+	var err error
+	n.transport, err = control.New(control.Config{Name: s.Name, Key: fleetKey(s), Seed: xxhash.Sum64String(s.Name)})
+	if err != nil {
+		return err
+	}
+	n.follower = follow.New(follow.Config{
+		Store: n.store, Replica: n.replica, Transport: n.transport, Log: n.log,
+		Self: replica.Node{
+			Name: s.Name, AvailabilityZone: s.AvailabilityZone, ControlAddress: s.ControlAddress,
+			CPUShare: s.Resources.CPUShare, LinkMbps: s.Resources.LinkMbps,
+		},
+		Seeds: s.Seeds, FirstStart: s.FirstStart,
+	})
+	n.shared = balance.New(n.balanceConfig(retry.Config{
+		Share: s.Bounds.RetryRatio * homeRetryShare, Floor: int(s.Bounds.RetryExtra * homeRetryShare),
+	}))
+	n.alone = balance.New(n.balanceConfig(retry.Config{Share: s.Bounds.RetryRatio * (1 - homeRetryShare)}))
+	n.homes = homes.NewClient(homes.Config{
+		Self: s.Name, Relays: n.follower, Transport: n.transport, Shared: n.shared, Alone: n.alone, Log: n.log,
+	})
+	homes.Serve(n.shared, n.transport)
+	return nil
+}
+
+func (n *Node) balanceConfig(retries retry.Config) balance.Config {
+	return balance.Config{
+		FloorShare: n.settings.Bounds.FloorShare,
+		Retries:    retries,
+		Seed:       xxhash.Sum64String(n.settings.Name),
+		Probe:      n.probe,
+		IsHome:     func(service string) bool { return n.homes.IsHome(service) },
+		Log:        n.log,
+	}
+}
+
+// homeRetryShare is the part of the fleet's retry budget that homes grant; the
+// rest is left to nodes that no home answers, and to a home's successor, which
+// does not know what was granted before.
+const homeRetryShare = 0.7
+
+// fleetKey is the key by which nodes of one deployment know each other. The
+// platform hands out no secret, so that it keeps out strays, not attackers.
+func fleetKey(s *platform.Settings) []byte {
+	key := sha256.Sum256([]byte("filbertmill " + s.StoreAddress))
+	return key[:]
+}
 
 // Run serves until the context ends, then drains.
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	var tasks sync.WaitGroup
-	tasks.Go(func() { n.local.Run(work) })
+	tasks.Go(func() { n.shared.Run(work) })
+	tasks.Go(func() { n.alone.Run(work) })
 	tasks.Go(func() { n.follower.Run(work) })
 	tasks.Go(func() { n.spreadViews(work) })
 	go func() { failed <- n.callers.Run() }()
 	go func() { failed <- n.ready.run() }()
+	go func() { failed <- n.transport.Serve(n.control) }()
 	n.log.Info("started", "run", n.run, "callers", n.settings.CallerAddress, "store", n.settings.StoreAddress)
 	var err error
 	select {
@@ -119,7 +175,9 @@
 func (n *Node) spreadViews(ctx context.Context) {
 	for {
 		changed := n.replica.Changed()
-		n.local.SetView(n.replica.View())
+		view := n.replica.View()
+		n.shared.SetView(view)
+		n.alone.SetView(view)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -26,7 +26,7 @@
 	go func() {
 		o := n.check(t, svc.ProbePath)
 		n.log.Info("target probed", "target", t.ID, "service", service, "reachable", o.Reachable, "latency_ms", o.Latency.Milliseconds())
-		n.local.Observe(service, o)
+		n.shared.Observe(service, o)
 	}()
 }
 
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -119,9 +119,10 @@
 	return fresh
 }
 
-// Replace merges the whole content of the store as of a revision: keys that
-// are not in it were removed.
-func (r *Replica) Replace(content []platform.Item, at platform.Revision) bool {
+// Replace merges the whole content of the store as of a revision. Keys that are
+// not in it were removed, unless keepTargets says that targets may be missing
+// because they could not report for a while. It reports whether anything was new.
+func (r *Replica) Replace(content []platform.Item, at platform.Revision, keepTargets bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fresh := false
@@ -131,7 +132,8 @@
 		fresh = r.merge(it) || fresh
 	}
 	for key, it := range r.items {
-		if !present[key] && !it.Deleted && it.Revision <= at {
+		kept := keepTargets && strings.HasPrefix(key, platform.TargetPrefix)
+		if !present[key] && !it.Deleted && it.Revision <= at && !kept {
 			fresh = r.merge(platform.Item{Key: key, Revision: at, Deleted: true}) || fresh
 		}
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -29,8 +29,10 @@
 	route      *dynamic.Route
 	service    string
 	idempotent bool
-	// deadline is when the caller's or the route's patience ends.
+	// deadline is when the caller's or the route's patience ends, due when an
+	// answer stops being worth most.
 	deadline    time.Time
+	due         time.Time
 	fingerprint poison.Fingerprint
 	onward      *protocol.Request
 }
@@ -92,6 +94,10 @@
 		deadline:   in.Received.Add(patience),
 		onward:     hop.Onward(&in.Header),
 	}
+	r.due = r.deadline
+	if route.LatencyObjective > 0 {
+		r.due = in.Received.Add(min(route.LatencyObjective, patience))
+	}
 	r.fingerprint = poison.NewFingerprint(
 		string(in.Header.Method()), string(in.Header.Host()), string(in.Header.RequestURI()), xxhash.Sum64(in.Body()))
 	return r, result{}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -28,6 +28,9 @@
 	Idempotent bool
 	// Deadline is when the caller's interest ends.
 	Deadline time.Time
+	// Due is when an answer stops being worth most to the caller; the zero
+	// time means Deadline.
+	Due time.Time
 	// Priority is the rank in which waiting attempts start, 0 first.
 	Priority int
 	// Exclude names targets that have already failed this request.
@@ -35,6 +38,12 @@
 	// Prefer names targets that are cheaper to reach for whoever runs the
 	// attempt; they win among equals.
 	Prefer []string
+	// Avoid names targets that whoever runs the attempt has lately failed to
+	// reach; they are used only if there is no other.
+	Avoid []string
+	// AvailabilityZone is where the attempt is run from; targets there are
+	// cheaper to reach.
+	AvailabilityZone string
 }
 
 // Verdict classifies the end of an attempt.
--- /dev/null
+++ b/pool/steer.go
@@ -0,0 +1,215 @@
+package pool
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+)
+
+const (
+	// failureShare is the share of its work that a faulty target fails.
+	failureShare = 0.85
+	// lossCost is what the failure of an attempt that may not be repeated costs,
+	// as time; repeatCost is what it costs one that may.
+	lossCost   = 20 * time.Second
+	repeatCost = 500 * time.Millisecond
+	// connectCost is what a new connection costs, and farCost one to another
+	// availability zone.
+	connectCost = 60 * time.Millisecond
+	farCost     = 10 * time.Millisecond
+	// busyCost is what each attempt in flight adds, as a share of the usual
+	// latency: some targets slow down when they are nearly full.
+	busyCost = 0.15
+	// avoidRisk is the risk of a target that could not be reached lately.
+	avoidRisk = 0.9
+	// lossRisk and repeatRisk are the risks above which an attempt waits for a
+	// better target, as long as it has time, if there is one.
+	lossRisk   = 0.25
+	repeatRisk = 0.6
+	// patience is the share of the time until its due time for which an attempt
+	// waits for a better target.
+	patience = 0.5
+	// idleTime is how long a target may go unused before a repeatable attempt is
+	// sent there to learn about it, and exploreShare the share of such attempts.
+	idleTime     = 2 * time.Second
+	exploreShare = 0.15
+)
+
+// usable says whether t may get work.
+func (t *steeredTarget) usable() bool {
+	return t.listed && !t.Leaving && t.state != StateDraining && t.state != StateGone
+}
+
+// capacity returns the slots that may be used now.
+func (t *steeredTarget) capacity() int {
+	c := min(t.Slots, t.limit.slots)
+	if t.Connections > 0 {
+		c = min(c, t.Connections)
+	}
+	return c
+}
+
+// free returns the number of slots that an attempt could take now.
+func (t *steeredTarget) free(now time.Time) int {
+	if !t.usable() || now.Before(t.limit.pausedUntil) {
+		return 0
+	}
+	return max(0, t.capacity()-len(t.running))
+}
+
+// risk returns the probability that t fails an attempt that starts now.
+func (s *steered) risk(now time.Time, t *steeredTarget) float64 {
+	b := t.belief
+	for _, a := range t.running {
+		if now.Sub(a.started) > overdue(s.latency(a.Route)) {
+			b.observe(now, overdueRatio)
+		}
+	}
+	return failureShare * b.now(now)
+}
+
+// dispatch starts what can start and refuses what no longer can.
+func (s *steered) dispatch(now time.Time) {
+	s.expire(now)
+	if len(s.waiting) == 0 {
+		return
+	}
+	risks := make(map[*steeredTarget]float64, len(s.order))
+	for _, t := range s.order {
+		risks[t] = s.risk(now, t)
+	}
+	s.sortWaiting(now)
+	kept := s.waiting[:0]
+	for _, a := range s.waiting {
+		t := s.choose(now, a, risks)
+		if t == nil {
+			kept = append(kept, a)
+			continue
+		}
+		a.started, a.target = now, t
+		t.used = now
+		t.running[a.ID] = a
+		s.running[a.ID] = a
+		s.delegate.Start(a.ID, t.Name)
+	}
+	clear(s.waiting[len(kept):])
+	s.waiting = kept
+}
+
+// sortWaiting orders the queue: by priority, then those that can still end when
+// they are due before those that cannot, then by the time they are due.
+func (s *steered) sortWaiting(now time.Time) {
+	slices.SortStableFunc(s.waiting, func(a, b *steeredAttempt) int {
+		return cmp.Or(
+			cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(s.lateness(now, a), s.lateness(now, b)),
+			a.Due.Compare(b.Due),
+		)
+	})
+}
+
+// lateness is 0 for an attempt that can still end when it is due, else 1.
+func (s *steered) lateness(now time.Time, a *steeredAttempt) int {
+	if now.Add(s.latency(a.Route)).After(a.Due) {
+		return 1
+	}
+	return 0
+}
+
+// choose returns the free target where a costs least, or nil if a waits.
+func (s *steered) choose(now time.Time, a *steeredAttempt, risks map[*steeredTarget]float64) *steeredTarget {
+	var best, idle *steeredTarget
+	var bestCost time.Duration
+	better := false
+	limit := lossRisk
+	if a.Idempotent {
+		limit = repeatRisk
+	}
+	for _, t := range s.order {
+		if !t.usable() || slices.Contains(a.Exclude, t.Name) {
+			continue
+		}
+		risk := risks[t]
+		if slices.Contains(a.Avoid, t.Name) {
+			risk = max(risk, avoidRisk)
+		}
+		if t.free(now) == 0 {
+			better = better || risk <= limit
+			continue
+		}
+		if risk <= limit && now.Sub(t.used) > idleTime {
+			idle = t
+		}
+		if c := s.cost(a, t, risk); best == nil || c < bestCost {
+			best, bestCost = t, c
+		}
+	}
+	if idle != nil && a.Idempotent && len(a.Exclude) == 0 && s.rng.Float64() < exploreShare {
+		return idle
+	}
+	if best == nil {
+		return nil
+	}
+	risk := risks[best]
+	if slices.Contains(a.Avoid, best.Name) {
+		risk = max(risk, avoidRisk)
+	}
+	if better && risk > limit && s.mayWait(now, a) {
+		return nil
+	}
+	return best
+}
+
+// mayWait says whether a can wait for a better target and still end when due.
+func (s *steered) mayWait(now time.Time, a *steeredAttempt) bool {
+	spare := a.Due.Sub(a.submitted) - s.latency(a.Route)
+	return now.Sub(a.submitted) < time.Duration(patience*float64(spare))
+}
+
+// cost returns the expected cost of running a on t, as time.
+func (s *steered) cost(a *steeredAttempt, t *steeredTarget, risk float64) time.Duration {
+	usual := float64(s.latency(a.Route))
+	loss := lossCost
+	if a.Idempotent {
+		loss = repeatCost
+	}
+	c := risk*float64(loss) + usual*t.slowness + usual*busyCost*float64(len(t.running))
+	if !slices.Contains(a.Prefer, t.Name) {
+		c += float64(connectCost)
+	}
+	if a.AvailabilityZone != t.AvailabilityZone {
+		c += float64(farCost)
+	}
+	return time.Duration(c)
+}
+
+// expire refuses waiting attempts that cannot end in time any more.
+func (s *steered) expire(now time.Time) {
+	kept := s.waiting[:0]
+	var expired []*steeredAttempt
+	for _, a := range s.waiting {
+		if now.Add(s.latency(a.Route) / 2).After(a.Deadline) {
+			expired = append(expired, a)
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	clear(s.waiting[len(kept):])
+	s.waiting = kept
+	for _, a := range expired {
+		s.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: s.drainTime(a)})
+	}
+}
+
+// refuse ends an attempt that never started and records why.
+func (s *steered) refuse(now time.Time, a *steeredAttempt, r Refusal) {
+	s.delegate.Event(event.Event{
+		Time: now, Kind: event.KindRefusal, Service: s.cfg.Service, Request: fmt.Sprint(a.ID), Rule: string(r.Reason),
+		Evidence: event.Evidence{Queued: len(s.waiting), Wait: s.drainTime(a), HealthySlots: s.slots(a)},
+	})
+	s.delegate.Refuse(a.ID, r)
+}
--- /dev/null
+++ b/pool/steered.go
@@ -0,0 +1,337 @@
+package pool
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/qmuntal/stateless"
+
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+)
+
+// RuleBelief names the rule by which a steered target is suspected or cleared.
+const RuleBelief = "belief"
+
+const (
+	// suspicionBelief and clearBelief are the beliefs at which a target counts
+	// as suspected and as cleared.
+	suspicionBelief = 0.5
+	clearBelief     = 0.25
+	// learnShare is the weight of the latest answer in a route's usual latency
+	// and a target's slowness.
+	learnShare = 0.05
+	// slownessShare is the weight of the latest answer in a target's slowness.
+	slownessShare = 0.2
+	// firstLatency stands for the usual latency of a route without answers.
+	firstLatency = 150 * time.Millisecond
+	// coldSlowness is how many times slower than usual a new target is taken to be.
+	coldSlowness = 2
+	// overdueFactor and overdueMin say when a running attempt is overdue:
+	// after so many times the usual latency and at least so long.
+	overdueFactor = 5
+	overdueMin    = 150 * time.Millisecond
+	// overdueRatio is the likelihood ratio of an attempt that is overdue.
+	overdueRatio = 5
+	// steeredTick is how often a busy Scheduler looks at what is due.
+	steeredTick = 25 * time.Millisecond
+)
+
+// steered is the Scheduler of NewSteered.
+type steered struct {
+	cfg      Config
+	delegate Delegate
+	rng      *rand.Rand
+	targets  map[string]*steeredTarget
+	order    []*steeredTarget
+	running  map[RequestID]*steeredAttempt
+	waiting  []*steeredAttempt
+	usual    map[string]time.Duration
+	adopted  bool
+	ticked   time.Time
+}
+
+// steeredTarget is what is known of one target.
+type steeredTarget struct {
+	Target
+	state   State
+	machine *stateless.StateMachine
+	listed  bool
+	belief  belief
+	// slowness is how many times longer than usual its answers take.
+	slowness float64
+	limit    limit
+	running  map[RequestID]*steeredAttempt
+	// used is when it was last given an attempt.
+	used time.Time
+}
+
+// steeredAttempt is an attempt that was submitted and not ended.
+type steeredAttempt struct {
+	Request
+	submitted time.Time
+	started   time.Time
+	target    *steeredTarget
+}
+
+// NewSteered returns a Scheduler for targets that often fail gray for some
+// seconds. It ejects none: it believes each target faulty with a probability
+// that every answer changes, and gives an attempt the free target where its
+// expected cost is least. Attempts that may not be repeated weigh a failure
+// more, and wait for a trusted target rather than take a doubtful one.
+func NewSteered(cfg Config, d Delegate, seed uint64) Scheduler {
+	return &steered{
+		cfg:      cfg.withDefaults(),
+		delegate: d,
+		rng:      rand.New(rand.NewPCG(seed, 0)),
+		targets:  make(map[string]*steeredTarget),
+		running:  make(map[RequestID]*steeredAttempt),
+		usual:    make(map[string]time.Duration),
+	}
+}
+
+func (s *steered) SetConfig(now time.Time, cfg Config) {
+	s.cfg = cfg.withDefaults()
+	s.dispatch(now)
+}
+
+func (s *steered) SetTargets(now time.Time, targets []Target) {
+	for _, t := range s.order {
+		t.listed = false
+	}
+	for _, listed := range targets {
+		s.list(now, listed)
+	}
+	for name, t := range s.targets {
+		if !t.listed || t.Leaving {
+			s.fire(now, t, triggerLeave, RuleListed)
+		} else if t.state == StateDraining {
+			s.fire(now, t, triggerRejoin, RuleListed)
+		}
+		if !t.listed && len(t.running) == 0 {
+			delete(s.targets, name)
+		}
+	}
+	s.order = s.order[:0]
+	for _, t := range s.targets {
+		s.order = append(s.order, t)
+	}
+	slices.SortFunc(s.order, func(a, b *steeredTarget) int { return cmp.Compare(a.Name, b.Name) })
+	s.adopted = true
+	s.dispatch(now)
+}
+
+// list takes one entry of the list of targets.
+func (s *steered) list(now time.Time, listed Target) {
+	t := s.targets[listed.Name]
+	if t == nil {
+		t = &steeredTarget{
+			state: StateServing, belief: belief{newFaulty, now}, slowness: 1,
+			limit: limit{slots: listed.Slots}, running: make(map[RequestID]*steeredAttempt),
+		}
+		if s.adopted {
+			t.slowness = coldSlowness
+		}
+		t.machine = newMachine(&t.state)
+		s.targets[listed.Name] = t
+	}
+	t.limit.slots = max(1, t.limit.slots+listed.Slots-t.Slots)
+	t.Target = listed
+	t.listed = true
+}
+
+// Submit implements Scheduler.
+func (s *steered) Submit(now time.Time, r Request) {
+	if r.Due.IsZero() {
+		r.Due = r.Deadline
+	}
+	a := &steeredAttempt{Request: r, submitted: now}
+	if refusal, ok := s.admit(now, a); !ok {
+		s.refuse(now, a, refusal)
+		return
+	}
+	s.waiting = append(s.waiting, a)
+	s.dispatch(now)
+}
+
+// admit says whether a is worth a place in the queue.
+func (s *steered) admit(now time.Time, a *steeredAttempt) (Refusal, bool) {
+	switch {
+	case !a.Deadline.After(now):
+		return Refusal{Reason: outcome.ReasonTooLate}, false
+	case s.slots(a) == 0:
+		return Refusal{Reason: outcome.ReasonNoTarget, RetryAfter: time.Second}, false
+	case len(s.waiting) >= s.cfg.QueueLimit:
+		return Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: s.drainTime(a)}, false
+	case now.Add(s.drainTime(a) + s.latency(a.Route)).After(a.Deadline):
+		return Refusal{Reason: outcome.ReasonTooLate, RetryAfter: s.drainTime(a)}, false
+	}
+	return Refusal{}, true
+}
+
+// slots returns the slots that could run a, now or once they are free.
+func (s *steered) slots(a *steeredAttempt) int {
+	n := 0
+	for _, t := range s.order {
+		if t.usable() && !slices.Contains(a.Exclude, t.Name) {
+			n += t.capacity()
+		}
+	}
+	return n
+}
+
+// drainTime returns how long the work that starts before a keeps the slots busy.
+func (s *steered) drainTime(a *steeredAttempt) time.Duration {
+	var work time.Duration
+	for _, other := range s.waiting {
+		if other.Priority <= a.Priority {
+			work += s.latency(other.Route)
+		}
+	}
+	return work / time.Duration(max(s.slots(a), 1))
+}
+
+// latency returns the usual latency of a route.
+func (s *steered) latency(route string) time.Duration {
+	if l := s.usual[route]; l > 0 {
+		return l
+	}
+	return firstLatency
+}
+
+// Cancel implements Scheduler.
+func (s *steered) Cancel(now time.Time, id RequestID) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(a *steeredAttempt) bool { return a.ID == id })
+	s.dispatch(now)
+}
+
+// Finish implements Scheduler.
+func (s *steered) Finish(now time.Time, id RequestID, res Result) {
+	a := s.running[id]
+	if a == nil {
+		return
+	}
+	t := a.target
+	delete(s.running, id)
+	delete(t.running, id)
+	s.learn(now, a, res)
+	if res.Leaving && t.state != StateDraining {
+		s.fire(now, t, triggerLeave, RuleOwnSignal)
+	}
+	if !t.listed && len(t.running) == 0 {
+		delete(s.targets, t.Name)
+		s.order = slices.DeleteFunc(s.order, func(o *steeredTarget) bool { return o == t })
+	}
+	s.dispatch(now)
+}
+
+// learn takes the end of an attempt as evidence.
+func (s *steered) learn(now time.Time, a *steeredAttempt, res Result) {
+	t := a.target
+	usual := s.latency(a.Route)
+	slowness := float64(res.Latency) / float64(usual)
+	switch res.Verdict {
+	case VerdictCancelled:
+		if now.Sub(a.started) > overdue(usual) {
+			t.belief.observe(now, overdueRatio)
+		}
+	case VerdictRefused:
+		t.limit.refused(now, len(t.running), s.cfg.LimitRecovery)
+	case VerdictAnswered:
+		t.limit.answered()
+		t.slowness += slownessShare * (min(slowness, 2*overdueFactor) - t.slowness)
+		s.learnLatency(a.Route, res.Latency)
+	}
+	t.belief.observe(now, ratioOf(res.Verdict, slowness))
+	s.review(now, t)
+}
+
+func (s *steered) learnLatency(route string, latency time.Duration) {
+	old := s.usual[route]
+	if old == 0 {
+		s.usual[route] = latency
+		return
+	}
+	s.usual[route] = old + time.Duration(learnShare*float64(min(latency, overdueFactor*old)-old))
+}
+
+// overdue returns the age at which a running attempt speaks against its target.
+func overdue(usual time.Duration) time.Duration { return max(overdueFactor*usual, overdueMin) }
+
+// review moves t between serving and suspected by what is believed of it.
+func (s *steered) review(now time.Time, t *steeredTarget) {
+	p := t.belief.now(now)
+	switch {
+	case t.state == StateServing && p >= suspicionBelief:
+		s.fire(now, t, triggerSuspect, RuleBelief)
+	case t.state == StateSuspected && p < clearBelief:
+		s.fire(now, t, triggerClear, RuleBelief)
+	}
+}
+
+// fire moves t by the trigger, if its state permits it, and records the change.
+func (s *steered) fire(now time.Time, t *steeredTarget, trig trigger, rule string) {
+	if ok, err := t.machine.CanFire(trig); err != nil || !ok {
+		return
+	}
+	from := t.state
+	if err := t.machine.Fire(trig); err != nil {
+		panic(fmt.Sprintf("pool: target %s: %v", t.Name, err))
+	}
+	if t.state == StateCold {
+		t.belief = belief{newFaulty, now}
+		t.slowness = coldSlowness
+	}
+	s.delegate.Event(event.Event{
+		Time: now, Kind: kindOf(from, t.state), Service: s.cfg.Service, Target: t.Name,
+		Rule: rule, From: string(from), To: string(t.state),
+		Evidence: event.Evidence{Score: t.belief.now(now), Threshold: suspicionBelief, Samples: len(t.running)},
+	})
+}
+
+// Observe implements Scheduler: health checks say nothing about gray failures.
+func (s *steered) Observe(time.Time, Observation) {}
+
+// Absolve implements Scheduler.
+func (s *steered) Absolve(now time.Time, name string, _ time.Time) {
+	if t := s.targets[name]; t != nil {
+		t.belief = belief{newFaulty, now}
+		s.review(now, t)
+		s.dispatch(now)
+	}
+}
+
+// Tick implements Scheduler.
+func (s *steered) Tick(now time.Time) {
+	s.ticked = now
+	for _, t := range s.order {
+		t.limit.tick(now, t.Slots, s.cfg.LimitRecovery)
+		s.review(now, t)
+	}
+	s.dispatch(now)
+}
+
+// Next implements Scheduler.
+func (s *steered) Next() time.Time {
+	if len(s.waiting) == 0 && len(s.running) == 0 {
+		return time.Time{}
+	}
+	return s.ticked.Add(steeredTick)
+}
+
+// Snapshot implements Scheduler.
+func (s *steered) Snapshot(time.Time) Snapshot {
+	snap := Snapshot{Service: s.cfg.Service, Queued: len(s.waiting), FloorSlots: s.cfg.FloorSlots}
+	for _, t := range s.order {
+		if t.state == StateServing || t.state == StateCold {
+			snap.HealthySlots += t.capacity()
+		}
+		snap.Targets = append(snap.Targets, TargetStatus{
+			Name: t.Name, State: string(t.state), Slots: t.Slots, Limit: t.capacity(), InFlight: len(t.running),
+		})
+	}
+	return snap
+}
