--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -8,12 +8,17 @@
 	noticeTime = 2500 * time.Millisecond
 	// exitMargin is how long before SIGKILL the node ends by itself.
 	exitMargin = 400 * time.Millisecond
+	// quietTime is the time without a new connection or request after which the
+	// node ends early: callers that were sent here before the balancer noticed
+	// may still be about to send.
+	quietTime = 1200 * time.Millisecond
 	// settleInterval is how often the node looks whether all is answered.
 	settleInterval = 20 * time.Millisecond
 )
 
-// drain refuses new connections once the balancer has noticed, finishes what
-// is in work, and returns before the host would kill the process.
+// drain lets the balancer notice that the node is not ready, goes on serving
+// until callers have turned to others and all is answered, and returns before
+// the host would kill the process.
 func (n *Node) drain() {
 	start := time.Now()
 	end := start.Add(max(n.settings.Bounds.Shutdown-exitMargin, noticeTime))
@@ -22,12 +27,11 @@
 	n.follower.Leave()
 	n.callers.Drain()
 	time.Sleep(noticeTime)
+	for time.Now().Before(end) && (n.callers.InFlight() > 0 || n.callers.Quiet() < quietTime) {
+		time.Sleep(settleInterval)
+	}
 	if err := n.callers.StopAccepting(); err != nil {
 		n.log.Warn("close listener", "error", err)
 	}
 	n.callers.CloseIdle()
-	for n.callers.InFlight() > 0 && time.Now().Before(end) {
-		time.Sleep(settleInterval)
-		n.callers.CloseIdle()
-	}
 }
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -26,6 +26,11 @@
 	// lingerTimeout is how long a connection is read and discarded after its
 	// last answer: closing with unread bytes would reset it and lose the answer.
 	lingerTimeout = 500 * time.Millisecond
+	// idleFactor is how many times the limit an idle connection is kept: callers
+	// that count the time differently must not meet a close with a request.
+	idleFactor = 3
+	// defaultIdleTimeout applies where no limit is set.
+	defaultIdleTimeout = 60 * time.Second
 	// maxPipelined bounds the requests of one connection in work at once.
 	maxPipelined = 8
 )
@@ -54,6 +59,8 @@
 	closing bool
 	// reading says that a request is being read.
 	reading bool
+	// idleSince is when the connection last became idle.
+	idleSince time.Time
 }
 
 func newConn(s *Server, nc network.Conn) *conn {
@@ -104,11 +111,10 @@
 // read reads one request. It returns a status if the request cannot be served,
 // and nil if the connection has ended.
 func (c *conn) read() (*Request, int) {
-	limits := c.server.handler.Limits()
-	c.waitIdle(limits.IdleTimeout)
-	if _, err := c.nc.Peek(1); err != nil {
+	if !c.awaitRequest() {
 		return nil, 0
 	}
+	limits := c.server.handler.Limits()
 	if !c.beginRead(limits.HeaderTimeout) {
 		return nil, 0
 	}
@@ -126,8 +132,12 @@
 	if err := c.readBody(&r, limits.BodyBytes); err != nil {
 		return nil, bodyStatus(err)
 	}
+	// What was read refers to the connection's buffers, which endRead recycles.
+	own := &protocol.Request{}
+	r.CopyTo(own)
 	c.endRead()
-	return &Request{Request: &r, Received: time.Now()}, 0
+	c.server.touch()
+	return &Request{Request: own, Received: time.Now()}, 0
 }
 
 func (c *conn) readBody(r *protocol.Request, limit int) error {
@@ -142,7 +152,8 @@
 			return err
 		}
 	}
-	return req.ContinueReadBody(r, c.nc, limit)
+	// Without the last argument hertz would parse a form and write it anew.
+	return req.ContinueReadBody(r, c.nc, limit, false)
 }
 
 // headerStatus says how an unreadable header is answered; 0 if nobody is there
@@ -172,20 +183,48 @@
 	return http.StatusBadRequest
 }
 
-// waitIdle sets the deadline for the first byte of the next request: none while
-// answers are due.
-func (c *conn) waitIdle(idle time.Duration) {
+// awaitRequest waits for the first byte of the next request; it reports false
+// if the connection has ended or was idle for too long. The limit may be raised
+// meanwhile, and callers then rely on it.
+func (c *conn) awaitRequest() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.reading = false
-	c.setIdleDeadline(idle)
+	c.idleSince = time.Now()
+	c.setIdleDeadline()
+	c.mu.Unlock()
+	for {
+		_, err := c.nc.Peek(1)
+		if err == nil {
+			return true
+		}
+		c.mu.Lock()
+		again := isTimeout(err) && !c.closing && (c.unanswered > 0 || time.Now().Before(c.idleEnd()))
+		if again {
+			c.setIdleDeadline()
+		}
+		c.mu.Unlock()
+		if !again {
+			return false
+		}
+	}
 }
 
-// setIdleDeadline must be called with mu held.
-func (c *conn) setIdleDeadline(idle time.Duration) {
+// idleEnd returns when the connection has been idle for too long. It must be
+// called with mu held.
+func (c *conn) idleEnd() time.Time {
+	idle := c.server.handler.Limits().IdleTimeout
+	if idle <= 0 {
+		return c.idleSince.Add(defaultIdleTimeout)
+	}
+	return c.idleSince.Add(idleFactor * idle)
+}
+
+// setIdleDeadline bounds the wait for the next request, unless answers are due.
+// It must be called with mu held.
+func (c *conn) setIdleDeadline() {
 	deadline := time.Time{}
-	if c.unanswered == 0 && idle > 0 {
-		deadline = time.Now().Add(idle)
+	if c.unanswered == 0 {
+		deadline = c.idleEnd()
 	}
 	_ = c.nc.SetReadDeadline(deadline)
 }
@@ -296,7 +335,8 @@
 	if c.unanswered == 0 {
 		c.settled.Broadcast()
 		if !c.reading {
-			c.setIdleDeadline(c.server.handler.Limits().IdleTimeout)
+			c.idleSince = time.Now()
+			c.setIdleDeadline()
 		}
 	}
 	if last {
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -51,6 +51,8 @@
 	transport network.Transporter
 	draining  atomic.Bool
 	inFlight  atomic.Int64
+	// active is when a connection or a request last arrived, in Unix nanoseconds.
+	active atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -85,6 +87,11 @@
 // InFlight returns the number of requests read and not answered.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// Quiet returns the time since a connection or a request last arrived.
+func (s *Server) Quiet() time.Duration { return time.Since(time.Unix(0, s.active.Load())) }
+
+func (s *Server) touch() { s.active.Store(time.Now().UnixNano()) }
+
 // Drain has every connection closed behind its next answer that no other
 // request waits for.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -106,6 +113,7 @@
 func (s *Server) StopAccepting() error { return errors.Wrap(s.listener.Close(), "close listener") }
 
 func (s *Server) serve(ctx context.Context, nc network.Conn) {
+	s.touch()
 	c := newConn(s, nc)
 	s.mu.Lock()
 	s.conns[c] = true
