--- a/cmd/filbertmill/config.go
+++ b/cmd/filbertmill/config.go
@@ -16,7 +16,6 @@
 	"filbertmill.example/fleet"
 	"filbertmill.example/fleet/publish"
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/httpstore"
 )
 
 // changeTimeout bounds one command on the store.
@@ -40,7 +39,7 @@
 
 // use runs a command on the store and returns the exit code.
 func (f storeFlag) use(command func(ctx context.Context, p *publish.Publisher) error) int {
-	c, err := httpstore.NewClient(f.Store)
+	c, err := platform.NewClientFor(f.Store)
 	if err != nil {
 		return report(err)
 	}
--- a/cmd/filbertmill/demo.go
+++ b/cmd/filbertmill/demo.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/node"
-	"filbertmill.example/platform/standin"
+	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/target"
 )
 
--- a/cmd/filbertmill/demoplatform.go
+++ b/cmd/filbertmill/demoplatform.go
@@ -5,7 +5,7 @@
 
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/fleet/publish"
-	"filbertmill.example/platform/standin"
+	"filbertmill.example/testbed/standin"
 )
 
 // startPlatform starts the platform and has the configuration accepted in its
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/memory"
+	"filbertmill.example/testbed/memory"
 )
 
 // inForceLimit is the target for a change to be in force everywhere.
--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -15,7 +15,7 @@
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/memory"
+	"filbertmill.example/testbed/memory"
 )
 
 // network connects agents in memory, in virtual time. Links can be cut for
--- a/fleet/publish/publish_test.go
+++ b/fleet/publish/publish_test.go
@@ -11,7 +11,7 @@
 
 	"filbertmill.example/fleet"
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/memory"
+	"filbertmill.example/testbed/memory"
 )
 
 const (
--- a/integration/chaos_test.go
+++ b/integration/chaos_test.go
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"filbertmill.example/outcome"
-	"filbertmill.example/platform/memory"
+	"filbertmill.example/testbed/memory"
 	"filbertmill.example/testbed/answer"
 	"filbertmill.example/testbed/faultproxy"
 )
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"filbertmill.example/filbertmill/internal/cluster"
-	"filbertmill.example/platform/memory"
+	"filbertmill.example/testbed/memory"
 )
 
 // testLimit bounds the wait for any one event; it is no target.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -14,7 +14,7 @@
 	"filbertmill.example/fleet"
 	"filbertmill.example/fleet/publish"
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/standin"
+	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/process"
 	"filbertmill.example/testbed/target"
 )
--- a/measure/bench.go
+++ b/measure/bench.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"filbertmill.example/platform/standin"
+	"filbertmill.example/testbed/standin"
 	"filbertmill.example/pool"
 	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/load"
--- a/node/membership.go
+++ b/node/membership.go
@@ -13,7 +13,6 @@
 	"filbertmill.example/fleet"
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/httpstore"
 )
 
 // leaveTimeout bounds how long the announcement of a departure may take.
@@ -70,14 +69,14 @@
 	var store platform.Store
 	var hosts platform.HostList
 	if s.StoreURL != "" {
-		c, err := httpstore.NewClient(s.StoreURL)
+		c, err := platform.NewClientFor(s.StoreURL)
 		if err != nil {
 			return nil, nil, err
 		}
 		store = c
 	}
 	if s.HostListURL != "" {
-		c, err := httpstore.NewClient(s.HostListURL)
+		c, err := platform.NewClientFor(s.HostListURL)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/platform/cmd/standin/main.go
+++ b/testbed/cmd/standin/main.go
@@ -8,7 +8,7 @@
 
 	"github.com/alexflint/go-arg"
 
-	"filbertmill.example/platform/standin"
+	"filbertmill.example/testbed/standin"
 )
 
 type args struct {
--- a/platform/memory/faults.go
+++ b/testbed/memory/faults.go
@@ -13,6 +13,10 @@
 	// LoseReplies is the number of the next writes that take effect and report
 	// a failure.
 	LoseReplies int `json:"lose_replies"`
+	// Refuse makes every call answer at once that nothing was done.
+	Refuse bool `json:"refuse"`
+	// DeafWatches makes watches of a prefix hear nothing.
+	DeafWatches bool `json:"deaf_watches"`
 }
 
 // Calls counts the calls to a stand-in by method. A waiting watch is one call.
@@ -22,9 +26,10 @@
 	Watch          int64 `json:"watch"`
 	Lease          int64 `json:"lease"`
 	Hosts          int64 `json:"hosts"`
+	Range          int64 `json:"range"`
 }
 
 // Total returns the number of all calls.
 func (c Calls) Total() int64 {
-	return c.Get + c.CompareAndSwap + c.Watch + c.Lease + c.Hosts
+	return c.Get + c.CompareAndSwap + c.Watch + c.Lease + c.Hosts + c.Range
 }
--- a/platform/memory/store.go
+++ b/testbed/memory/store.go
@@ -40,6 +40,9 @@
 	granted  int
 	faults   Faults
 	calls    Calls
+	// events holds the changes in order; those up to compacted are gone.
+	events    []platform.Item
+	compacted platform.Revision
 	// changed is closed and replaced whenever a waiting watch must look again.
 	changed chan struct{}
 }
@@ -70,6 +73,13 @@
 	return s.calls
 }
 
+// Revision returns the revision of the last change.
+func (s *Store) Revision() platform.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // LapseLeases ends all leases and removes their keys, as if their holders had
 // been paused for too long.
 func (s *Store) LapseLeases() {
@@ -103,6 +113,7 @@
 	defer s.mu.Unlock()
 	s.keys = maps.Clone(c.keys)
 	s.revision = c.revision
+	s.events, s.compacted = nil, c.revision
 	s.leases = make(map[platform.LeaseID]lease)
 	s.wake()
 }
@@ -200,7 +211,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.granted++
-	id := platform.LeaseID("lease-" + strconv.Itoa(s.granted))
+	id := platform.LeaseID(strconv.Itoa(s.granted))
 	s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	return id, nil
 }
@@ -248,6 +259,9 @@
 	if f.Away {
 		return platform.ErrUnavailable
 	}
+	if f.Refuse {
+		return platform.ErrNotDone
+	}
 	return ctx.Err()
 }
 
@@ -290,6 +304,9 @@
 		versions = versions[1:]
 	}
 	s.keys[key] = append(versions, v)
+	s.events = append(s.events, platform.Item{
+		Key: key, Value: bytes.Clone(v.value), Revision: s.revision, Deleted: v.revision == 0,
+	})
 	s.wake()
 }
 
--- a/platform/standin/standin.go
+++ b/testbed/standin/standin.go
@@ -15,8 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/httpstore"
-	"filbertmill.example/platform/memory"
+	"filbertmill.example/testbed/memory"
 )
 
 // Paths that only a stand-in has.
@@ -75,7 +74,7 @@
 		server.WithListener(l),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
-		server.WithMaxRequestBodySize(platform.MaxValueBytes+1<<10),
+		server.WithMaxRequestBodySize(2*platform.MaxValueBytes),
 		server.WithExitWaitTime(shutdownTimeout),
 	)
 	s.routes()
@@ -105,7 +104,7 @@
 }
 
 func (s *Standin) routes() {
-	httpstore.Register(s.server, s.Store, s.Hosts)
+	s.registerProtocol()
 	s.server.PUT(PathFaults, func(_ context.Context, c *app.RequestContext) { setJSON(c, s.Store.SetFaults) })
 	s.server.PUT(PathHostFaults, func(_ context.Context, c *app.RequestContext) { setJSON(c, s.Hosts.SetFaults) })
 	s.server.PUT(PathHosts, func(_ context.Context, c *app.RequestContext) { setJSON(c, s.Hosts.SetHosts) })
--- a/platform/standin/standin_test.go
+++ b/testbed/standin/standin_test.go
@@ -11,16 +11,15 @@
 	qt "github.com/frankban/quicktest"
 
 	"filbertmill.example/platform"
-	"filbertmill.example/platform/httpstore"
-	"filbertmill.example/platform/memory"
+	"filbertmill.example/testbed/memory"
 )
 
-func startTest(t *testing.T) (*Standin, *httpstore.Client) {
+func startTest(t *testing.T) (*Standin, *platform.Client) {
 	t.Helper()
 	s, err := Start("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { qt.Check(t, s.Close(), qt.IsNil) })
-	c, err := httpstore.NewClient(s.URL())
+	c, err := platform.NewClientFor(s.URL())
 	qt.Assert(t, err, qt.IsNil)
 	return s, c
 }
