--- /dev/null
+++ b/pool/steered_test.go
@@ -0,0 +1,161 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/event"
+	"filbertmill.example/outcome"
+)
+
+// steeredService is a steered Scheduler of n targets with two slots each.
+func steeredService(n int) (*steered, *recorder) {
+	r := newRecorder()
+	s := NewSteered(Config{Service: "s"}, r, 1).(*steered)
+	var targets []Target
+	for i := range n {
+		targets = append(targets, Target{Name: string(rune('a' + i)), Slots: 2})
+	}
+	s.SetTargets(epoch, targets)
+	return s, r
+}
+
+// unsafeRequest must not be repeated, safeRequest may be.
+func unsafeRequest(id RequestID, now time.Time) Request {
+	return Request{ID: id, Route: "r", Deadline: now.Add(1500 * time.Millisecond), Due: now.Add(600 * time.Millisecond)}
+}
+
+func safeRequest(id RequestID, now time.Time) Request {
+	r := unsafeRequest(id, now)
+	r.Idempotent = true
+	return r
+}
+
+// TestOneResetSteersUnsafeWorkAway plays the pattern of a gray target that
+// resets most of its requests at once while its health is good.
+func TestOneResetSteersUnsafeWorkAway(t *testing.T) {
+	s, r := steeredService(3)
+	now := epoch
+	id := RequestID(0)
+	failed := ""
+	for range 40 {
+		id++
+		now = now.Add(30 * time.Millisecond)
+		s.Submit(now, unsafeRequest(id, now))
+		target := r.started[id]
+		qt.Assert(t, target, qt.Not(qt.Equals), "")
+		if failed == "" {
+			failed = target
+			s.Finish(now, id, Result{Verdict: VerdictReset, Latency: 2 * time.Millisecond})
+			continue
+		}
+		qt.Assert(t, target, qt.Not(qt.Equals), failed, qt.Commentf("request %d", id))
+		s.Finish(now.Add(10*time.Millisecond), id, Result{Verdict: VerdictAnswered, Latency: 10 * time.Millisecond})
+	}
+	e := r.last(event.KindTargetState)
+	qt.Check(t, e.Target, qt.Equals, failed)
+	qt.Check(t, e.To, qt.Equals, string(StateSuspected))
+}
+
+// TestUnsafeWorkWaitsForATrustedTarget has all trusted slots busy: unsafe work
+// waits as long as it has time, and safe work takes the doubtful target.
+func TestUnsafeWorkWaitsForATrustedTarget(t *testing.T) {
+	s, r := steeredService(2)
+	now := epoch
+	s.targets["b"].belief = belief{0.8, now}
+	for id := RequestID(1); id <= 2; id++ {
+		s.Submit(now, unsafeRequest(id, now))
+		qt.Assert(t, r.started[id], qt.Equals, "a")
+	}
+	s.Submit(now, unsafeRequest(3, now))
+	_, started := r.started[3]
+	qt.Check(t, started, qt.IsFalse)
+	s.Tick(now.Add(400 * time.Millisecond))
+	qt.Check(t, r.started[3], qt.Equals, "b", qt.Commentf("its time to wait is over"))
+}
+
+func TestTargetComesBackByTimeAndByAnswers(t *testing.T) {
+	b := belief{beliefMax, epoch}
+	qt.Check(t, b.now(epoch.Add(time.Second)) > suspicionBelief, qt.IsTrue)
+	qt.Check(t, b.now(epoch.Add(15*time.Second)) < clearBelief, qt.IsTrue)
+	b.observe(epoch.Add(5*time.Second), ratioAnswered)
+	b.observe(epoch.Add(5*time.Second), ratioAnswered)
+	qt.Check(t, b.now(epoch.Add(5*time.Second)) < clearBelief, qt.IsTrue)
+}
+
+// TestCrestRefusesOnlyWhatCannotEnd plays a crest of three times the capacity:
+// nobody is refused whose answer could come in time, and refusals come at once
+// and say when the queue has drained.
+func TestCrestRefusesOnlyWhatCannotEnd(t *testing.T) {
+	s, r := steeredService(2)
+	s.usual["r"] = 200 * time.Millisecond
+	for id := RequestID(1); id <= 60; id++ {
+		s.Submit(epoch, safeRequest(id, epoch))
+	}
+	qt.Check(t, r.started, qt.HasLen, 4)
+	// Four slots end 20 requests a second; the deadline leaves time for 26 to
+	// start behind the first four.
+	qt.Check(t, len(s.waiting), qt.Equals, 27)
+	qt.Check(t, r.refused, qt.HasLen, 60-4-27)
+	for _, refusal := range r.refused {
+		qt.Check(t, refusal.Reason, qt.Equals, outcome.ReasonTooLate)
+		qt.Check(t, refusal.RetryAfter > 0, qt.IsTrue)
+	}
+}
+
+// TestQueueServesWhatIsStillDue has requests that missed their objective wait
+// behind those that can still meet it, and priority go before both.
+func TestQueueServesWhatIsStillDue(t *testing.T) {
+	s, r := steeredService(1)
+	s.usual["r"] = 100 * time.Millisecond
+	now := epoch
+	s.Submit(now, unsafeRequest(1, now))
+	s.Submit(now, unsafeRequest(2, now))
+	late := unsafeRequest(3, now)
+	late.Due = now.Add(50 * time.Millisecond)
+	due := unsafeRequest(4, now)
+	urgent := unsafeRequest(5, now)
+	urgent.Due = late.Due
+	late.Priority, due.Priority = 1, 1
+	for _, q := range []Request{late, due, urgent} {
+		s.Submit(now, q)
+	}
+	var order []RequestID
+	for _, a := range s.waiting {
+		order = append(order, a.ID)
+	}
+	s.sortWaiting(now)
+	order = order[:0]
+	for _, a := range s.waiting {
+		order = append(order, a.ID)
+	}
+	qt.Check(t, order, qt.DeepEquals, []RequestID{5, 4, 3})
+	qt.Check(t, r.started, qt.HasLen, 2)
+}
+
+func TestLeavingTargetGetsNoMoreWork(t *testing.T) {
+	s, r := steeredService(2)
+	s.SetTargets(epoch, []Target{{Name: "a", Slots: 2, Leaving: true}, {Name: "b", Slots: 2}})
+	for id := RequestID(1); id <= 3; id++ {
+		s.Submit(epoch, safeRequest(id, epoch))
+	}
+	qt.Check(t, r.started, qt.DeepEquals, map[RequestID]string{1: "b", 2: "b"})
+	s.SetTargets(epoch, nil)
+	s.Finish(epoch, 1, Result{Verdict: VerdictAnswered, Latency: time.Millisecond})
+	s.Finish(epoch, 2, Result{Verdict: VerdictAnswered, Latency: time.Millisecond})
+	qt.Check(t, s.Snapshot(epoch).Targets, qt.HasLen, 0)
+}
+
+func TestAvoidedAndExcludedTargets(t *testing.T) {
+	s, r := steeredService(2)
+	avoid := unsafeRequest(1, epoch)
+	avoid.Avoid = []string{"a"}
+	s.Submit(epoch, avoid)
+	qt.Check(t, r.started[1], qt.Equals, "b")
+	none := unsafeRequest(2, epoch)
+	none.Exclude = []string{"a", "b"}
+	s.Submit(epoch, none)
+	qt.Check(t, r.refused[2].Reason, qt.Equals, outcome.ReasonNoTarget)
+}
--- /dev/null
+++ b/testbed/standin/protocol_test.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/platform"
+	"filbertmill.example/testbed/memory"
+)
+
+func put(t *testing.T, c *platform.Client, key, value string) platform.Revision {
+	t.Helper()
+	rev, err := c.Txn(t.Context(), nil, []platform.Put{{Key: key, Value: []byte(value)}})
+	qt.Assert(t, err, qt.IsNil)
+	return rev
+}
+
+func TestRangeGoesOverPages(t *testing.T) {
+	_, c := startTest(t)
+	const n = 1100
+	for i := range n {
+		put(t, c, fmt.Sprintf("p/%04d", i), "v")
+	}
+	put(t, c, "q/other", "v")
+	items, rev, err := c.RangeAll(t.Context(), "p/")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, items, qt.HasLen, n)
+	qt.Check(t, rev, qt.Equals, platform.Revision(n+1))
+}
+
+func TestWatchPrefixTellsChangesAndRemovals(t *testing.T) {
+	_, c := startTest(t)
+	first := put(t, c, "p/a", "1")
+	second := put(t, c, "p/b", "2")
+	put(t, c, "q/c", "3")
+	changes, at, err := c.WatchPrefix(t.Context(), "p/", first, time.Second)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, changes, qt.DeepEquals, []platform.Item{{Key: "p/b", Value: []byte("2"), Revision: second}})
+	qt.Check(t, at, qt.Equals, second+1)
+
+	changes, _, err = c.WatchPrefix(t.Context(), "p/", at, 20*time.Millisecond)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, changes, qt.HasLen, 0)
+}
+
+func TestCompactedHistoryIsReported(t *testing.T) {
+	s, c := startTest(t)
+	at := put(t, c, "p/a", "1")
+	put(t, c, "p/a", "2")
+	s.Store.Compact()
+	_, _, err := c.WatchPrefix(t.Context(), "p/", at, time.Second)
+	qt.Check(t, errors.Is(err, platform.ErrCompacted), qt.IsTrue)
+}
+
+// TestErrorsTellWhatWasDone checks the difference on which repeating a call
+// depends.
+func TestErrorsTellWhatWasDone(t *testing.T) {
+	s, c := startTest(t)
+	write := func() error {
+		_, err := c.Txn(t.Context(), map[string]platform.Revision{"k": 0}, []platform.Put{{Key: "k", Value: []byte("v")}})
+		return err
+	}
+	s.Store.SetFaults(memory.Faults{Refuse: true})
+	qt.Check(t, errors.Is(write(), platform.ErrNotDone), qt.IsTrue)
+	s.Store.SetFaults(memory.Faults{LoseReplies: 1})
+	err := write()
+	qt.Check(t, errors.Is(err, platform.ErrNotDone), qt.IsFalse)
+	qt.Check(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	var conflict *platform.ConflictError
+	qt.Check(t, errors.As(write(), &conflict), qt.IsTrue, qt.Commentf("the lost one was done"))
+	qt.Check(t, string(conflict.Current.Value), qt.Equals, "v")
+
+	nobody := platform.NewClient("127.0.0.1:1", nil)
+	_, err = nobody.Get(t.Context(), "k")
+	qt.Check(t, errors.Is(err, platform.ErrNotDone), qt.IsTrue)
+}
+
+func TestSilentStoreEndsWithTheContext(t *testing.T) {
+	s, c := startTest(t)
+	s.Store.SetFaults(memory.Faults{Delay: time.Minute})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, _, err := c.RangeAll(ctx, "")
+	qt.Check(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	qt.Check(t, time.Since(start) < 2*time.Second, qt.IsTrue)
+	s.Store.SetFaults(memory.Faults{})
+}
