--- a/integration/chaos_test.go
+++ b/integration/chaos_test.go
@@ -13,9 +13,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"filbertmill.example/outcome"
-	"filbertmill.example/testbed/memory"
 	"filbertmill.example/testbed/answer"
 	"filbertmill.example/testbed/faultproxy"
+	"filbertmill.example/testbed/memory"
 )
 
 // The size and seed of TestBookingsUnderFaults.
--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -14,10 +14,10 @@
 	"filbertmill.example/node"
 	"filbertmill.example/once"
 	"filbertmill.example/outcome"
-	"filbertmill.example/testbed/memory"
-	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/answer"
 	"filbertmill.example/testbed/faultproxy"
+	"filbertmill.example/testbed/memory"
+	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/target"
 )
 
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -14,8 +14,8 @@
 	"filbertmill.example/fleet"
 	"filbertmill.example/fleet/publish"
 	"filbertmill.example/platform"
-	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/process"
+	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/target"
 )
 
--- a/measure/bench.go
+++ b/measure/bench.go
@@ -11,11 +11,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"filbertmill.example/testbed/standin"
 	"filbertmill.example/pool"
 	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/load"
 	"filbertmill.example/testbed/process"
+	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/target"
 )
 
--- /dev/null
+++ b/testbed/process/gateway.go
@@ -0,0 +1,107 @@
+package process
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// Gateway describes one node on the platform before it is started.
+type Gateway struct {
+	// Name and AvailabilityZone identify the node.
+	Name             string
+	AvailabilityZone string
+	// Callers, Ready and Control are its listen addresses.
+	Callers, Ready, Control string
+	// Store is where it reaches the platform's store, as through a fault proxy.
+	Store string
+	// Seeds are control addresses of nodes to ask first.
+	Seeds []string
+	// FirstStart says that all nodes start for the first time.
+	FirstStart bool
+}
+
+// NewGateways returns n nodes on free loopback addresses, spread over the
+// availability zones, that all reach the store at one address.
+func NewGateways(n int, zones []string, store string) ([]Gateway, error) {
+	addrs, err := FreeAddresses(3 * n)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Gateway, n)
+	for i := range list {
+		a := addrs[3*i:]
+		list[i] = Gateway{
+			Name: fmt.Sprintf("host-%d", i+1), AvailabilityZone: zones[i%len(zones)],
+			Callers: a[0], Ready: a[1], Control: a[2], Store: store, FirstStart: true,
+		}
+	}
+	for i := range list {
+		for j := range min(n, 3) {
+			list[i].Seeds = append(list[i].Seeds, list[j].Control)
+		}
+	}
+	return list, nil
+}
+
+// Settings returns the settings file, in the platform's format.
+func (g Gateway) Settings() string {
+	return fmt.Sprintf(`node = %q
+ip = "127.0.0.1"
+zone = %q
+region = "test"
+port-range = [1024, 65535]
+seeds = [%s]
+bootstrap = %t
+heartbeat-s = 0.5
+
+[listen]
+front = %q
+ready = %q
+control = %q
+
+[limits]
+cpu-share = 1.0
+cores = 1
+memory-mb = 256
+max-fds = 1024
+link-mbps = 1000.0
+
+[bounds]
+contact-s = 3
+drain-s = 2
+grace-s = 6
+config-apply-s = 2
+reuse-after-s = 2
+budget-ratio = 0.2
+budget-window-s = 10
+budget-extra = 50
+probes-per-s = 3
+floor-share = 0.7
+
+[platform]
+address = %q
+`, g.Name, g.AvailabilityZone, quoted(g.Seeds), g.FirstStart, g.Callers, g.Ready, g.Control, g.Store)
+}
+
+func quoted(list []string) string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = fmt.Sprintf("%q", s)
+	}
+	return strings.Join(out, ", ")
+}
+
+// StartGateway runs the program as a node on the platform; its files go into dir.
+func StartGateway(bin, dir string, g Gateway) (*Node, error) {
+	file := filepath.Join(dir, g.Name+".toml")
+	if err := os.WriteFile(file, []byte(g.Settings()), 0o600); err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(bin, "gateway")
+	cmd.Env = append(os.Environ(), "FILBERTMILL_SETTINGS="+file)
+	spec := Spec{Name: g.Name, AvailabilityZone: g.AvailabilityZone, Callers: g.Callers, Control: g.Control}
+	return run(cmd, spec, filepath.Join(dir, g.Name+".log"), "http://"+g.Ready+"/ready")
+}
--- a/testbed/process/process.go
+++ b/testbed/process/process.go
@@ -111,9 +111,11 @@
 	// Log is the file with the node's log lines.
 	Log string
 
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
+	// ready is the URL of the readiness check.
+	ready string
+	cmd   *exec.Cmd
+	done  chan struct{}
+	err   error
 }
 
 // Start runs the program with the given settings, whose files go into dir.
@@ -122,13 +124,18 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	n := &Node{Spec: spec, Log: filepath.Join(dir, spec.Name+".log"), done: make(chan struct{})}
+	cmd := exec.Command(bin, "serve", "--config", file)
+	return run(cmd, spec, filepath.Join(dir, spec.Name+".log"), "http://"+spec.Admin+"/readyz")
+}
+
+// run starts a command whose lines go to a log file.
+func run(cmd *exec.Cmd, spec Spec, log, ready string) (*Node, error) {
+	n := &Node{Spec: spec, Log: log, ready: ready, cmd: cmd, done: make(chan struct{})}
 	out, err := os.OpenFile(n.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	defer out.Close()
-	n.cmd = exec.Command(bin, "serve", "--config", file)
 	n.cmd.Stdout = out
 	n.cmd.Stderr = out
 	if err := n.cmd.Start(); err != nil {
@@ -147,7 +154,7 @@
 	defer cancel()
 	client := &http.Client{Timeout: probeTimeout}
 	for {
-		resp, err := client.Get("http://" + n.Spec.Admin + "/readyz")
+		resp, err := client.Get(n.ready)
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
