--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,11 +31,11 @@
 
 // try asks for a target and runs the request on it once. Granted, if not nil,
 // is called with the target's name before the exchange begins.
-func (n *Node) try(ctx context.Context, r *request, repeat balance.Repeat, exclude []string, granted func(target string)) end {
+func (n *Node) try(ctx context.Context, r *request, repeat balance.Repeat, exclude []balance.TargetHash, last bool, granted func(target string)) end {
 	a := balance.Attempt{
-		ID:      balance.ID{Node: n.run, Number: n.attempts.Add(1)},
+		ID:      balance.ID{Node: n.runNumber, Number: n.attempts.Add(1)},
 		Service: r.service, Route: r.route.Name, Request: r.id, Idempotent: r.idempotent,
-		Priority: r.route.Priority, TimeLeft: time.Until(r.deadline), Exclude: exclude, Repeat: repeat,
+		Priority: r.route.Priority, TimeLeft: time.Until(r.deadline), Exclude: exclude, Repeat: repeat, Last: last,
 		Fingerprint: r.fingerprint, Prefer: n.connected(r.service), Avoid: n.paths.bad(time.Now()),
 		DueLeft: time.Until(r.due), AvailabilityZone: n.settings.AvailabilityZone,
 	}
@@ -68,12 +68,12 @@
 	return e
 }
 
-// connected names the targets of a service to which a connection is held.
-func (n *Node) connected(service string) []string {
-	var names []string
+// connected returns the targets of a service to which a connection is held.
+func (n *Node) connected(service string) []balance.TargetHash {
+	var names []balance.TargetHash
 	for _, t := range n.replica.View().Targets[service] {
 		if n.targets.Idle(t.Address) {
-			names = append(names, t.Name())
+			names = append(names, balance.HashTarget(t.Name()))
 		}
 	}
 	return names
--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filbertmill.example/outcome"
 	"filbertmill.example/poison"
 	"filbertmill.example/pool"
@@ -25,8 +27,9 @@
 
 // ID identifies an attempt within the fleet.
 type ID struct {
-	// Node is the node that carries the attempt, and Number its own number for it.
-	Node   string `cbor:"1,keyasint"`
+	// Node is the run of the node that carries the attempt, and Number its own
+	// number for it.
+	Node   uint64 `cbor:"1,keyasint"`
 	Number uint64 `cbor:"2,keyasint"`
 }
 
@@ -40,26 +43,35 @@
 	Request string `cbor:"4,keyasint"`
 	// Idempotent says that the request may be run more than once.
 	Idempotent bool `cbor:"5,keyasint"`
+	// Last says that no further attempt of the request will follow.
+	Last bool `cbor:"15,keyasint,omitempty"`
 	// Priority is its rank, 0 first.
 	Priority int `cbor:"6,keyasint"`
 	// TimeLeft is how long the caller still waits.
 	TimeLeft time.Duration `cbor:"7,keyasint"`
 	// Exclude names targets that had the request, Prefer those to which the
-	// node holds a connection.
-	Exclude []string `cbor:"8,keyasint,omitempty"`
-	Prefer  []string `cbor:"9,keyasint,omitempty"`
+	// node holds a connection, by their hashes.
+	Exclude []TargetHash `cbor:"8,keyasint,omitempty"`
+	Prefer  []TargetHash `cbor:"9,keyasint,omitempty"`
 	// Repeat says why the attempt is not the request's first.
 	Repeat Repeat `cbor:"10,keyasint,omitempty"`
 	// DueLeft is how long an answer is worth most to the caller.
 	DueLeft time.Duration `cbor:"12,keyasint"`
 	// Avoid names targets that the node lately failed to reach.
-	Avoid []string `cbor:"13,keyasint,omitempty"`
+	Avoid []TargetHash `cbor:"13,keyasint,omitempty"`
 	// AvailabilityZone is where the node runs.
 	AvailabilityZone string `cbor:"14,keyasint"`
 	// Fingerprint identifies requests that are the same to a target.
 	Fingerprint poison.Fingerprint `cbor:"11,keyasint"`
 }
 
+// TargetHash stands for a target's name: names would be most of the bytes
+// between a node and a home.
+type TargetHash uint32
+
+// HashTarget returns the hash of a target's name.
+func HashTarget(name string) TargetHash { return TargetHash(xxhash.Sum64String(name)) }
+
 // Grant answers an Attempt.
 type Grant struct {
 	// Target names the target to run on; it is empty if there is none.
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -102,11 +103,26 @@
 	s.ids[a.ID] = id
 	s.sched.Submit(now, pool.Request{
 		ID: id, Route: a.Route, Idempotent: a.Idempotent, Deadline: o.deadline,
-		Due: now.Add(min(a.DueLeft, a.TimeLeft)), Priority: a.Priority, Exclude: a.Exclude, Prefer: a.Prefer,
-		Avoid: a.Avoid, AvailabilityZone: a.AvailabilityZone,
+		Due: now.Add(min(a.DueLeft, a.TimeLeft)), Priority: a.Priority, Last: a.Last,
+		Exclude: s.names(a.Exclude), Prefer: s.names(a.Prefer), Avoid: s.names(a.Avoid),
+		AvailabilityZone: a.AvailabilityZone,
 	})
 }
 
+// names returns the names of the service's targets with the given hashes.
+func (s *service) names(hashes []TargetHash) []string {
+	if len(hashes) == 0 {
+		return nil
+	}
+	var names []string
+	for _, t := range s.loop.view.Targets[s.name] {
+		if name := t.Name(); slices.Contains(hashes, HashTarget(name)) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (s *service) cancel(now time.Time, id ID) {
 	number, ok := s.ids[id]
 	if !ok {
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -70,9 +70,13 @@
 func (f *flight) start(repeat balance.Repeat) {
 	f.started++
 	f.running++
-	exclude := append([]string(nil), f.used...)
+	exclude := make([]balance.TargetHash, len(f.used))
+	for i, name := range f.used {
+		exclude[i] = balance.HashTarget(name)
+	}
+	last := f.started-f.withdrawn >= f.r.route.Attempts
 	go func() {
-		f.ends <- f.node.try(f.ctx, f.r, repeat, exclude, func(target string) { f.grants <- target })
+		f.ends <- f.node.try(f.ctx, f.r, repeat, exclude, last, func(target string) { f.grants <- target })
 	}()
 }
 
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -6,6 +6,7 @@
 
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/gateway/replica"
+	"filbertmill.example/platform"
 )
 
 const (
@@ -14,6 +15,9 @@
 	// Bytes between zones are charged, and changes are told at once anyway.
 	nearWait = 400 * time.Millisecond
 	farWait  = 2 * time.Second
+	// noticeWait is how long the changes that a far relay gave notice of may take
+	// to come from the near one.
+	noticeWait = 250 * time.Millisecond
 	// lookInterval is how often a relay that holds a question looks whether the
 	// store still confirms its copy.
 	lookInterval = 300 * time.Millisecond
@@ -40,11 +44,12 @@
 // ask asks a relay for changes until it fails or the context ends.
 func (f *Follower) ask(ctx context.Context, n replica.Node, wait time.Duration) error {
 	to := peerOf(n)
+	notice := false
 	for ctx.Err() == nil {
 		after := f.cfg.Replica.View().Revision
 		callCtx, cancel := context.WithTimeout(ctx, wait+pollGrace)
 		var u update
-		err := f.cfg.Transport.Call(callCtx, to, kindChanges, question{After: after, Wait: wait}, &u)
+		err := f.cfg.Transport.Call(callCtx, to, kindChanges, question{After: after, Wait: wait, NoticeOnly: notice}, &u)
 		cancel()
 		if err != nil {
 			return err
@@ -53,12 +58,51 @@
 			f.merge(u)
 			return errLeaving
 		}
-		f.merge(u)
 		f.noteHeard(n.Name, u.Age)
+		if !notice {
+			f.merge(u)
+		} else if !f.awaitRevision(ctx, u.Through) {
+			notice = false
+			continue
+		}
+		notice = f.otherTells(n.Name)
 	}
 	return ctx.Err()
 }
 
+// awaitRevision waits until this node's copy has reached a revision.
+func (f *Follower) awaitRevision(ctx context.Context, at platform.Revision) bool {
+	timer := time.NewTimer(noticeWait)
+	defer timer.Stop()
+	for {
+		changed := f.cfg.Replica.Changed()
+		if f.cfg.Replica.View().Revision >= at {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return f.cfg.Replica.View().Revision >= at
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// otherTells says whether a relay of this node's zone other than the named one
+// answers: it tells the changes without bytes between zones.
+func (f *Follower) otherTells(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for other, fd := range f.feeds {
+		if other != name && f.far(fd.node) == 0 && fd.answers(now) && fd.age < freshAge {
+			return true
+		}
+	}
+	return false
+}
+
 // merge takes an update into the replica.
 func (f *Follower) merge(u update) {
 	if u.Whole {
--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -17,12 +17,15 @@
 	After platform.Revision `cbor:"1,keyasint"`
 	// Wait is how long the relay holds the question while nothing changes.
 	Wait time.Duration `cbor:"2,keyasint"`
+	// NoticeOnly asks that something changed, not what: another relay tells it.
+	NoticeOnly bool `cbor:"3,keyasint,omitempty"`
 }
 
 // update answers a question.
 type update struct {
 	Changes []platform.Item `cbor:"1,keyasint,omitempty"`
-	// Through is the revision up to which the relay's copy is complete.
+	// Through is the revision up to which the relay's copy is complete; with a
+	// notice only, the changes up to it are not told.
 	Through platform.Revision `cbor:"2,keyasint"`
 	// Whole says that Changes is the whole content.
 	Whole bool `cbor:"3,keyasint,omitempty"`
@@ -48,6 +51,9 @@
 		changed := f.cfg.Replica.Changed()
 		changes, through, whole := f.cfg.Replica.Changes(q.After)
 		u := update{Changes: changes, Through: through, Whole: whole, Age: f.storeAge(), Leaving: f.leaving.Load()}
+		if q.NoticeOnly {
+			u.Changes = nil
+		}
 		if len(changes) > 0 || u.Leaving || (wasFresh && u.Age >= freshAge) {
 			return u, nil
 		}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -39,8 +39,9 @@
 type Node struct {
 	settings *platform.Settings
 	log      hclog.Logger
-	// run tells this run of the process from others on the same host.
+	// run and runNumber tell this run of the process from others.
 	run       string
+	runNumber uint64
 	store     *platform.Client
 	replica   *replica.Replica
 	follower  *follow.Follower
@@ -68,11 +69,12 @@
 	n := &Node{
 		settings: settings,
 		log:      log,
-		run:      settings.Name + "/" + strconv.FormatUint(rand.Uint64(), 36),
 		replica:  replica.New(log),
 		stats:    newStats(),
 		paths:    newPaths(),
 	}
+	n.runNumber = rand.Uint64()
+	n.run = settings.Name + "/" + strconv.FormatUint(n.runNumber, 36)
 	n.store = platform.NewClient(settings.StoreAddress, n.stats.countStoreCall)
 	n.targets = exchange.NewClient(exchange.Options{
 		DialTimeout: dialTimeout, IdleTimeout: targetIdleTimeout, MaxIdle: maxIdleConnections,
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"filbertmill.example/gateway/balance"
 	"filbertmill.example/pool"
 )
 
@@ -43,13 +44,13 @@
 }
 
 // bad returns the targets to avoid.
-func (p *paths) bad(now time.Time) []string {
+func (p *paths) bad(now time.Time) []balance.TargetHash {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var names []string
+	var names []balance.TargetHash
 	for name, f := range p.down {
 		if now.Before(f.until) {
-			names = append(names, name)
+			names = append(names, balance.HashTarget(name))
 		} else if now.Sub(f.until) > pathPenaltyMax {
 			delete(p.down, name)
 		}
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -19,8 +19,8 @@
 	repeatCost = 500 * time.Millisecond
 	// connectCost is what a new connection costs, and farCost one to another
 	// availability zone.
-	connectCost = 60 * time.Millisecond
-	farCost     = 10 * time.Millisecond
+	connectCost = 120 * time.Millisecond
+	farCost     = 100 * time.Millisecond
 	// busyCost is what each attempt in flight adds, as a share of the usual
 	// latency: some targets slow down when they are nearly full.
 	busyCost = 0.15
@@ -126,7 +126,7 @@
 	var bestCost time.Duration
 	better := false
 	limit := lossRisk
-	if a.Idempotent {
+	if a.mayFail() {
 		limit = repeatRisk
 	}
 	for _, t := range s.order {
@@ -148,7 +148,7 @@
 			best, bestCost = t, c
 		}
 	}
-	if idle != nil && a.Idempotent && len(a.Exclude) == 0 && s.rng.Float64() < exploreShare {
+	if idle != nil && a.mayFail() && len(a.Exclude) == 0 && s.rng.Float64() < exploreShare {
 		return idle
 	}
 	if best == nil {
@@ -164,6 +164,9 @@
 	return best
 }
 
+// mayFail says whether another attempt can make up for the failure of a.
+func (a *steeredAttempt) mayFail() bool { return a.Idempotent && !a.Last }
+
 // mayWait says whether a can wait for a better target and still end when due.
 func (s *steered) mayWait(now time.Time, a *steeredAttempt) bool {
 	spare := a.Due.Sub(a.submitted) - s.latency(a.Route)
@@ -174,7 +177,7 @@
 func (s *steered) cost(a *steeredAttempt, t *steeredTarget, risk float64) time.Duration {
 	usual := float64(s.latency(a.Route))
 	loss := lossCost
-	if a.Idempotent {
+	if a.mayFail() {
 		loss = repeatCost
 	}
 	c := risk*float64(loss) + usual*t.slowness + usual*busyCost*float64(len(t.running))
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,11 @@
 	overdueMin    = 150 * time.Millisecond
 	// overdueRatio is the likelihood ratio of an attempt that is overdue.
 	overdueRatio = 5
+	// limitRecovery is the time after which a lowered limit rises by one slot,
+	// and limitShare the least share of the slots that it leaves: a refusal may
+	// be a gray failure, and a repeated attempt costs little.
+	limitRecovery = 200 * time.Millisecond
+	limitShare    = 0.5
 	// steeredTick is how often a busy Scheduler looks at what is due.
 	steeredTick = 25 * time.Millisecond
 )
@@ -239,7 +245,7 @@
 			t.belief.observe(now, overdueRatio)
 		}
 	case VerdictRefused:
-		t.limit.refused(now, len(t.running), s.cfg.LimitRecovery)
+		t.refuse(now)
 	case VerdictAnswered:
 		t.limit.answered()
 		t.slowness += slownessShare * (min(slowness, 2*overdueFactor) - t.slowness)
@@ -249,6 +255,13 @@
 	s.review(now, t)
 }
 
+// refuse lowers the limit to the work that t holds, for a moment.
+func (t *steeredTarget) refuse(now time.Time) {
+	least := max(1, int(math.Ceil(limitShare*float64(t.Slots))))
+	t.limit.slots = max(least, min(t.limit.slots, len(t.running)))
+	t.limit.raiseAt = now.Add(limitRecovery)
+}
+
 func (s *steered) learnLatency(route string, latency time.Duration) {
 	old := s.usual[route]
 	if old == 0 {
@@ -308,7 +321,7 @@
 func (s *steered) Tick(now time.Time) {
 	s.ticked = now
 	for _, t := range s.order {
-		t.limit.tick(now, t.Slots, s.cfg.LimitRecovery)
+		t.limit.tick(now, t.Slots, limitRecovery)
 		s.review(now, t)
 	}
 	s.dispatch(now)
