--- a/cmd/filbertmill/gateway.go
+++ b/cmd/filbertmill/gateway.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"expvar"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"filbertmill.example/gateway"
+	"filbertmill.example/gateway/logs"
 	"filbertmill.example/platform"
 )
 
+// logCloseTimeout bounds the wait for a reader of the last log lines.
+const logCloseTimeout = 200 * time.Millisecond
+
 // gatewayCommand runs a node on the users' platform until SIGTERM.
 type gatewayCommand struct {
 	LogLevel string `arg:"--log-level" default:"info" help:"trace, debug, info, warn or error"`
@@ -22,8 +28,11 @@
 	if err != nil {
 		return report(err)
 	}
+	lines := logs.NewWriter(os.Stdout)
+	defer lines.Close(logCloseTimeout)
+	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return lines.Dropped() }))
 	log := hclog.New(&hclog.LoggerOptions{
-		Name: "filbertmill", Level: hclog.LevelFromString(c.LogLevel), JSONFormat: true, Output: os.Stdout,
+		Name: "filbertmill", Level: hclog.LevelFromString(c.LogLevel), JSONFormat: true, Output: lines.Output(),
 	}).With("node", settings.Name)
 	n, err := gateway.New(settings, log)
 	if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,15 +27,26 @@
 	// notRun says that it is proved that the target did not run the request.
 	notRun bool
 	failed bool
+	// name is the target's name.
+	name string
 }
 
-// try asks for a target and runs the request on it once. Granted, if not nil,
-// is called with the target's name before the exchange begins.
-func (n *Node) try(ctx context.Context, r *request, repeat balance.Repeat, exclude []balance.TargetHash, last bool, granted func(target string)) end {
+// plan says on which targets an attempt may run, and why there is one.
+type plan struct {
+	repeat  balance.Repeat
+	exclude []balance.TargetHash
+	only    []balance.TargetHash
+	// last says that no further attempt will follow.
+	last bool
+}
+
+// try asks for a target and runs the request on it once. Granted is called
+// before the exchange begins.
+func (n *Node) try(ctx context.Context, r *request, p plan, granted func(balance.Grant)) end {
 	a := balance.Attempt{
 		ID:      balance.ID{Node: n.runNumber, Number: n.attempts.Add(1)},
 		Service: r.service, Route: r.route.Name, Request: r.id, Idempotent: r.idempotent,
-		Priority: r.route.Priority, TimeLeft: time.Until(r.deadline), Exclude: exclude, Repeat: repeat, Last: last,
+		Priority: r.route.Priority, TimeLeft: time.Until(r.deadline), Exclude: p.exclude, Only: p.only, Repeat: p.repeat, Last: p.last,
 		Fingerprint: r.fingerprint, Prefer: n.connected(r.service), Avoid: n.paths.bad(time.Now()),
 		DueLeft: time.Until(r.due), AvailabilityZone: n.settings.AvailabilityZone,
 	}
@@ -56,15 +67,15 @@
 		n.log.Info("grant not used: the target is leaving or gone", "request", r.id, "target", lease.Target, "home", lease.Home)
 		return end{result: refused(outcome.ReasonNoTarget, minRetryAfter), notRun: true, failed: true, verdict: pool.VerdictRefused}
 	}
-	granted(lease.Target)
+	granted(lease.Grant)
 	start := time.Now()
 	e, crashed := n.send(ctx, r, t)
-	e.granted, e.target = true, t.ID
+	e.granted, e.target, e.name = true, t.ID, lease.Target
 	n.paths.note(time.Now(), lease.Target, e.verdict)
 	finish(balance.Report{Verdict: e.verdict, Latency: time.Since(start), Crashed: crashed})
 	n.stats.attempts.Add(verdictName(e.verdict), 1)
 	n.log.Debug("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", verdictName(e.verdict),
-		"latency_ms", time.Since(start).Milliseconds(), "repeat", repeat, "detail", e.outcome.Detail)
+		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.repeat, "detail", e.outcome.Detail)
 	return e
 }
 
@@ -81,7 +92,7 @@
 
 // endReason says why a request ended that no target had.
 func endReason(ctx context.Context) outcome.Reason {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if ctx.Err() == context.DeadlineExceeded {
 		return outcome.ReasonTooLate
 	}
 	return outcome.ReasonCallerLeft
--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -57,6 +57,8 @@
 	Repeat Repeat `cbor:"10,keyasint,omitempty"`
 	// DueLeft is how long an answer is worth most to the caller.
 	DueLeft time.Duration `cbor:"12,keyasint"`
+	// Only, if not empty, names the targets that the attempt may use.
+	Only []TargetHash `cbor:"16,keyasint,omitempty"`
 	// Avoid names targets that the node lately failed to reach.
 	Avoid []TargetHash `cbor:"13,keyasint,omitempty"`
 	// AvailabilityZone is where the node runs.
@@ -79,6 +81,8 @@
 	// Reason says why there is none, and RetryAfter when the caller may ask again.
 	Reason     outcome.Reason `cbor:"2,keyasint,omitempty"`
 	RetryAfter time.Duration  `cbor:"3,keyasint,omitempty"`
+	// Usual is the time that answers on the route usually take.
+	Usual time.Duration `cbor:"5,keyasint,omitempty"`
 	// Queued says that the attempt still waits.
 	Queued bool `cbor:"4,keyasint,omitempty"`
 }
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -90,7 +90,7 @@
 	}
 	if a.Repeat == First {
 		s.retries.Request(now)
-	} else if !s.retries.Take(now, false) {
+	} else if !s.retries.Take(now, a.Repeat == Hedge && s.sched.Snapshot(now).Queued > 0) {
 		s.loop.cfg.Log.Info("second attempt refused: the retry budget is spent",
 			"request", a.Request, "service", s.name, "left", s.retries.Left(now))
 		reply(Grant{Reason: outcome.ReasonNoTarget})
@@ -104,7 +104,7 @@
 	s.sched.Submit(now, pool.Request{
 		ID: id, Route: a.Route, Idempotent: a.Idempotent, Deadline: o.deadline,
 		Due: now.Add(min(a.DueLeft, a.TimeLeft)), Priority: a.Priority, Last: a.Last,
-		Exclude: s.names(a.Exclude), Prefer: s.names(a.Prefer), Avoid: s.names(a.Avoid),
+		Exclude: s.names(a.Exclude), Prefer: s.names(a.Prefer), Only: s.names(a.Only), Avoid: s.names(a.Avoid),
 		AvailabilityZone: a.AvailabilityZone,
 	})
 }
@@ -207,7 +207,17 @@
 	o := s.open[id]
 	o.target = target
 	o.started = time.Now()
-	o.reply(Grant{Target: target})
+	o.reply(Grant{Target: target, Usual: s.usual(o.Route)})
+}
+
+// usual returns the time that answers on a route usually take, 0 if unknown.
+func (s *service) usual(route string) time.Duration {
+	if u, ok := s.sched.(interface {
+		Usual(route string) time.Duration
+	}); ok {
+		return u.Usual(route)
+	}
+	return 0
 }
 
 // Refuse implements pool.Delegate.
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -9,23 +9,38 @@
 	"filbertmill.example/pool"
 )
 
-// minTimeLeft is the least time in which another attempt is worth a target's slot.
-const minTimeLeft = 40 * time.Millisecond
+const (
+	// minTimeLeft is the least time in which another attempt is worth a target's slot.
+	minTimeLeft = 40 * time.Millisecond
+	// maxWithdrawn bounds the grants of one request that are not used because
+	// their target is leaving.
+	maxWithdrawn = 4
+	// maxAgain bounds how often the targets that refused a request are asked
+	// again once it may go to no other; againPause is the time before that.
+	maxAgain   = 3
+	againPause = 30 * time.Millisecond
+	// hedgeFactor is how many times the usual latency an answer may take before
+	// it counts as overdue, and hedgeShare the share of the latency objective
+	// that it may take at most: the rest must suffice for another target's.
+	hedgeFactor = 3
+	hedgeShare  = 0.6
+)
 
 // carry has a request run by targets, one after another or, where its answer is
 // overdue, by two at once.
 func (n *Node) carry(ctx context.Context, r *request) result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := &flight{node: n, r: r, ctx: ctx, ends: make(chan end, r.route.Attempts+maxWithdrawn), grants: make(chan string, r.route.Attempts+maxWithdrawn)}
+	size := r.route.Attempts + maxWithdrawn + maxAgain
+	f := &flight{node: n, r: r, ctx: ctx, ends: make(chan end, size), grants: make(chan balance.Grant, size)}
 	f.start(balance.First)
 	var hedge <-chan time.Time
 	for {
 		select {
-		case target := <-f.grants:
-			f.used = append(f.used, target)
+		case g := <-f.grants:
+			f.used = append(f.used, g.Target)
 			if hedge == nil && r.idempotent {
-				hedge = time.After(f.hedgeDelay())
+				hedge = time.After(f.hedgeDelay(g.Usual))
 			}
 		case e := <-f.ends:
 			if f.take(e) {
@@ -42,10 +57,6 @@
 	}
 }
 
-// maxWithdrawn bounds the grants of one request that are not used because their
-// target is leaving.
-const maxWithdrawn = 4
-
 // flight is one request with its attempts.
 type flight struct {
 	node *Node
@@ -53,51 +64,84 @@
 	ctx  context.Context
 	ends chan end
 	// grants receives the targets as attempts begin.
-	grants chan string
-	// used names the targets that had the request; running and started count
-	// the attempts in work and begun.
+	grants chan balance.Grant
+	// used names the targets that had the request, refusing those that did not
+	// run it. Running and started count the attempts in work and begun;
+	// withdrawn those whose grant was not used, again those on refusing targets.
 	used      []string
+	refusing  []string
 	running   int
 	started   int
 	withdrawn int
+	again     int
 	// last is the end that is answered if no better one comes; sent says that
 	// a target may have run the request.
 	last result
 	sent bool
 }
 
-// start begins an attempt.
+// start begins an attempt on a target that has not had the request.
 func (f *flight) start(repeat balance.Repeat) {
 	f.started++
+	f.launch(0, plan{
+		repeat: repeat, exclude: hashes(f.used), last: f.started-f.withdrawn >= f.r.route.Attempts,
+	})
+}
+
+// startAgain begins an attempt on a target that refused the request: it may go
+// to no other, and what refuses one request may take the next.
+func (f *flight) startAgain() {
+	f.again++
+	f.launch(againPause, plan{repeat: balance.AfterRefusal, only: hashes(f.refusing), last: f.again == maxAgain})
+}
+
+// launch runs an attempt beside this goroutine after a pause.
+func (f *flight) launch(pause time.Duration, p plan) {
 	f.running++
-	exclude := make([]balance.TargetHash, len(f.used))
-	for i, name := range f.used {
-		exclude[i] = balance.HashTarget(name)
-	}
-	last := f.started-f.withdrawn >= f.r.route.Attempts
 	go func() {
-		f.ends <- f.node.try(f.ctx, f.r, repeat, exclude, last, func(target string) { f.grants <- target })
+		if pause > 0 {
+			time.Sleep(pause)
+		}
+		f.ends <- f.node.try(f.ctx, f.r, p, func(g balance.Grant) { f.grants <- g })
 	}()
 }
 
-// mayStart reports whether another attempt is allowed and worth its while.
+func hashes(names []string) []balance.TargetHash {
+	list := make([]balance.TargetHash, len(names))
+	for i, name := range names {
+		list[i] = balance.HashTarget(name)
+	}
+	return list
+}
+
+// mayStart reports whether a further target may have the request.
 func (f *flight) mayStart() bool {
-	return f.started-f.withdrawn < f.r.route.Attempts && time.Until(f.r.deadline) > minTimeLeft && f.ctx.Err() == nil
+	return f.started-f.withdrawn < f.r.route.Attempts && f.worthwhile()
+}
+
+// mayAskAgain reports whether a refusing target may be asked again.
+func (f *flight) mayAskAgain() bool {
+	return len(f.refusing) > 0 && f.again < maxAgain && f.running == 0 && f.worthwhile()
+}
+
+// worthwhile says whether enough time is left for another attempt.
+func (f *flight) worthwhile() bool {
+	return time.Until(f.r.deadline) > minTimeLeft && f.ctx.Err() == nil
 }
 
 // hedgeDelay is how long the first answer is waited for alone.
-func (f *flight) hedgeDelay() time.Duration {
+func (f *flight) hedgeDelay(usual time.Duration) time.Duration {
 	objective := f.r.route.LatencyObjective
 	if objective <= 0 {
 		objective = time.Until(f.r.deadline)
 	}
-	return time.Duration(hedgeShare * float64(objective))
+	bound := time.Duration(hedgeShare * float64(objective))
+	if usual <= 0 {
+		return bound
+	}
+	return min(hedgeFactor*usual, bound)
 }
 
-// hedgeShare is the share of the latency objective after which an answer
-// counts as overdue; the rest must suffice for another target's.
-const hedgeShare = 0.6
-
 // take takes the end of an attempt; it reports whether the request is answered.
 func (f *flight) take(e end) bool {
 	f.running--
@@ -114,9 +158,15 @@
 	case !e.granted:
 		// Nobody has a target for it; another request would not change that.
 		return f.running == 0
+	case e.verdict == pool.VerdictRefused:
+		f.refusing = append(f.refusing, e.name)
 	}
-	if (e.notRun || f.r.idempotent) && f.mayStart() && f.withdrawn < maxWithdrawn {
+	switch {
+	case !e.notRun && !f.r.idempotent:
+	case f.mayStart() && f.withdrawn < maxWithdrawn:
 		f.start(repeatAfter(e, f.started-f.withdrawn))
+	case f.mayAskAgain():
+		f.startAgain()
 	}
 	return f.running == 0
 }
@@ -125,8 +175,8 @@
 func (f *flight) drainGrants() {
 	for {
 		select {
-		case target := <-f.grants:
-			f.used = append(f.used, target)
+		case g := <-f.grants:
+			f.used = append(f.used, g.Target)
 		default:
 			return
 		}
@@ -139,6 +189,7 @@
 	switch {
 	case f.last.response != nil && e.response == nil:
 	case f.last.outcome.Kind == outcome.Unknown && e.notRun:
+	case !e.granted && f.last.outcome.Reason != "":
 	default:
 		f.last = e.result
 	}
@@ -154,7 +205,7 @@
 
 // expired returns the answer at the end of the caller's patience.
 func (f *flight) expired() result {
-	if context.Cause(f.ctx) != context.DeadlineExceeded {
+	if f.ctx.Err() != context.DeadlineExceeded {
 		return result{outcome: outcome.New(outcome.ReasonCallerLeft, "", 0)}
 	}
 	f.drainGrants()
--- /dev/null
+++ b/gateway/logs/writer_test.go
@@ -0,0 +1,59 @@
+package logs
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+)
+
+func logger(w *Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Output: w.Output(), JSONFormat: true})
+}
+
+// TestReaderThatStandsStill has nobody read the lines: those who log go on.
+func TestReaderThatStandsStill(t *testing.T) {
+	r, out := io.Pipe()
+	defer r.Close()
+	w := NewWriter(out)
+	log := logger(w)
+	start := time.Now()
+	for i := range 5000 {
+		log.Info("ordinary", "i", i)
+		log.Warn("urgent", "i", i)
+	}
+	qt.Check(t, time.Since(start) < 3*time.Second, qt.IsTrue)
+	qt.Check(t, w.Dropped() > 0, qt.IsTrue)
+	w.Close(10 * time.Millisecond)
+}
+
+func TestDroppedLinesAreReportedByClass(t *testing.T) {
+	var mu sync.Mutex
+	var out bytes.Buffer
+	w := NewWriter(writerFunc(func(p []byte) (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return out.Write(p)
+	}))
+	log := logger(w)
+	for range 3 * burstLines {
+		log.Info("ordinary")
+	}
+	log.Error("urgent")
+	w.Close(time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	text := out.String()
+	qt.Check(t, strings.Contains(text, `"urgent"`), qt.IsTrue)
+	qt.Check(t, strings.Contains(text, `"class":"ordinary"`), qt.IsTrue)
+	qt.Check(t, strings.Count(text, `"@message":"ordinary"`) <= burstLines+linesPerSecond, qt.IsTrue)
+}
+
+type writerFunc func([]byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -37,6 +37,8 @@
 	Priority int
 	// Exclude names targets that have already failed this request.
 	Exclude []string
+	// Only, if not empty, names the targets that the attempt may use.
+	Only []string
 	// Prefer names targets that are cheaper to reach for whoever runs the
 	// attempt; they win among equals.
 	Prefer []string
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -33,9 +33,15 @@
 	// patience is the share of the time until its due time for which an attempt
 	// waits for a better target.
 	patience = 0.5
+	// riskFloor is the risk up to which targets count as equally sound: a new
+	// target must be able to compete with one that has just answered.
+	riskFloor = 0.05
+	// spreadLoss is the share of lost work above which all targets that may be
+	// sound are used in turn; the floor counts from a tenth.
+	spreadLoss = 0.07
 	// idleTime is how long a target may go unused before a repeatable attempt is
 	// sent there to learn about it, and exploreShare the share of such attempts.
-	idleTime     = 2 * time.Second
+	idleTime     = time.Second
 	exploreShare = 0.15
 )
 
@@ -130,7 +136,7 @@
 		limit = repeatRisk
 	}
 	for _, t := range s.order {
-		if !t.usable() || slices.Contains(a.Exclude, t.Name) {
+		if !t.usable() || !a.fits(t) {
 			continue
 		}
 		risk := risks[t]
@@ -144,7 +150,7 @@
 		if risk <= limit && now.Sub(t.used) > idleTime {
 			idle = t
 		}
-		if c := s.cost(a, t, risk); best == nil || c < bestCost {
+		if c := s.cost(now, a, t, risk, limit); best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
 	}
@@ -173,9 +179,23 @@
 	return now.Sub(a.submitted) < time.Duration(patience*float64(spare))
 }
 
-// cost returns the expected cost of running a on t, as time.
-func (s *steered) cost(a *steeredAttempt, t *steeredTarget, risk float64) time.Duration {
+// fits says whether a may run on t at all.
+func (a *steeredAttempt) fits(t *steeredTarget) bool {
+	if len(a.Only) > 0 && !slices.Contains(a.Only, t.Name) {
+		return false
+	}
+	return !slices.Contains(a.Exclude, t.Name)
+}
+
+// cost returns the expected cost of running a on t, as time. While much work is
+// lost, all targets that may be sound are used in turn: then too few of them are
+// known, or more is asked than the best known ones can do.
+func (s *steered) cost(now time.Time, a *steeredAttempt, t *steeredTarget, risk, limit float64) time.Duration {
+	if s.lost > spreadLoss && risk <= limit {
+		return -min(now.Sub(t.used), time.Minute)
+	}
 	usual := float64(s.latency(a.Route))
+	risk = max(0, risk-riskFloor)
 	loss := lossCost
 	if a.mayFail() {
 		loss = repeatCost
@@ -214,5 +234,6 @@
 		Time: now, Kind: event.KindRefusal, Service: s.cfg.Service, Request: fmt.Sprint(a.ID), Rule: string(r.Reason),
 		Evidence: event.Evidence{Queued: len(s.waiting), Wait: s.drainTime(a), HealthySlots: s.slots(a)},
 	})
+	s.countLoss(true)
 	s.delegate.Refuse(a.ID, r)
 }
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -42,6 +42,8 @@
 	// be a gray failure, and a repeated attempt costs little.
 	limitRecovery = 200 * time.Millisecond
 	limitShare    = 0.5
+	// lossWeight is the weight of the latest attempt in the share not served.
+	lossWeight = 0.02
 	// steeredTick is how often a busy Scheduler looks at what is due.
 	steeredTick = 25 * time.Millisecond
 )
@@ -58,6 +60,8 @@
 	usual    map[string]time.Duration
 	adopted  bool
 	ticked   time.Time
+	// lost is the share of attempts that were not served lately.
+	lost float64
 }
 
 // steeredTarget is what is known of one target.
@@ -182,7 +186,7 @@
 func (s *steered) slots(a *steeredAttempt) int {
 	n := 0
 	for _, t := range s.order {
-		if t.usable() && !slices.Contains(a.Exclude, t.Name) {
+		if t.usable() && a.fits(t) {
 			n += t.capacity()
 		}
 	}
@@ -208,6 +212,9 @@
 	return firstLatency
 }
 
+// Usual returns the usual latency of a route.
+func (s *steered) Usual(route string) time.Duration { return s.latency(route) }
+
 // Cancel implements Scheduler.
 func (s *steered) Cancel(now time.Time, id RequestID) {
 	s.waiting = slices.DeleteFunc(s.waiting, func(a *steeredAttempt) bool { return a.ID == id })
@@ -223,6 +230,7 @@
 	t := a.target
 	delete(s.running, id)
 	delete(t.running, id)
+	s.countLoss(res.Verdict != VerdictAnswered && res.Verdict != VerdictCancelled)
 	s.learn(now, a, res)
 	if res.Leaving && t.state != StateDraining {
 		s.fire(now, t, triggerLeave, RuleOwnSignal)
@@ -234,6 +242,15 @@
 	s.dispatch(now)
 }
 
+// countLoss takes one more attempt into the share that was not served.
+func (s *steered) countLoss(lost bool) {
+	if lost {
+		s.lost += lossWeight * (1 - s.lost)
+	} else {
+		s.lost -= lossWeight * s.lost
+	}
+}
+
 // learn takes the end of an attempt as evidence.
 func (s *steered) learn(now time.Time, a *steeredAttempt, res Result) {
 	t := a.target
