--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -23,6 +23,9 @@
 	AfterFailure
 	// Hedge runs beside an attempt whose answer is overdue.
 	Hedge
+	// Redirected follows an attempt of which no target has seen a byte; it is
+	// no second attempt to any.
+	Redirected
 )
 
 // ID identifies an attempt within the fleet.
--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -30,6 +30,8 @@
 	FloorShare float64
 	// Retries bounds the second attempts that this Loop grants.
 	Retries retry.Config
+	// FirstHome says that no other Loop can have been the home before.
+	FirstHome bool
 	// Seed makes ties repeatable.
 	Seed uint64
 	// Probe asks for a health check of a target, answered by Observe; it is
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -12,8 +12,8 @@
 const (
 	// minTimeLeft is the least time in which another attempt is worth a target's slot.
 	minTimeLeft = 40 * time.Millisecond
-	// maxWithdrawn bounds the grants of one request that are not used because
-	// their target is leaving.
+	// maxWithdrawn bounds the grants of one request that come to nothing because
+	// their target is leaving or cannot be reached.
 	maxWithdrawn = 4
 	// maxAgain bounds how often the targets that refused a request are asked
 	// again once it may go to no other; againPause is the time before that.
@@ -153,7 +153,7 @@
 	}
 	f.keep(e)
 	switch {
-	case !e.granted && e.verdict == pool.VerdictRefused:
+	case !e.granted && e.verdict == pool.VerdictRefused, e.granted && !e.sent:
 		f.withdrawn++
 	case !e.granted:
 		// Nobody has a target for it; another request would not change that.
@@ -164,7 +164,7 @@
 	switch {
 	case !e.notRun && !f.r.idempotent:
 	case f.mayStart() && f.withdrawn < maxWithdrawn:
-		f.start(repeatAfter(e, f.started-f.withdrawn))
+		f.start(repeatAfter(e))
 	case f.mayAskAgain():
 		f.startAgain()
 	}
@@ -219,10 +219,10 @@
 }
 
 // repeatAfter says why an attempt follows one that ended so.
-func repeatAfter(e end, earlier int) balance.Repeat {
+func repeatAfter(e end) balance.Repeat {
 	switch {
-	case earlier == 0:
-		return balance.First
+	case !e.sent:
+		return balance.Redirected
 	case e.notRun:
 		return balance.AfterRefusal
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -128,6 +128,7 @@
 	return balance.Config{
 		FloorShare: n.settings.Bounds.FloorShare,
 		Retries:    retries,
+		FirstHome:  n.settings.FirstStart,
 		Seed:       xxhash.Sum64String(n.settings.Name),
 		Probe:      n.probe,
 		IsHome:     func(service string) bool { return n.homes.IsHome(service) },
@@ -136,9 +137,8 @@
 }
 
 // homeRetryShare is the part of the fleet's retry budget that homes grant; the
-// rest is left to nodes that no home answers, and to a home's successor, which
-// does not know what was granted before.
-const homeRetryShare = 0.7
+// rest is left to nodes that no home answers.
+const homeRetryShare = 0.9
 
 // fleetKey is the key by which nodes of one deployment know each other. The
 // platform hands out no secret, so that it keeps out strays, not attackers.
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -42,7 +42,7 @@
 	// be a gray failure, and a repeated attempt costs little.
 	limitRecovery = 200 * time.Millisecond
 	limitShare    = 0.5
-	// lossWeight is the weight of the latest attempt in the share not served.
+	// lossWeight is the weight of the latest request in the share not served.
 	lossWeight = 0.02
 	// steeredTick is how often a busy Scheduler looks at what is due.
 	steeredTick = 25 * time.Millisecond
@@ -60,7 +60,7 @@
 	usual    map[string]time.Duration
 	adopted  bool
 	ticked   time.Time
-	// lost is the share of attempts that were not served lately.
+	// lost is the share of requests that were lately not served.
 	lost float64
 }
 
@@ -230,7 +230,9 @@
 	t := a.target
 	delete(s.running, id)
 	delete(t.running, id)
-	s.countLoss(res.Verdict != VerdictAnswered && res.Verdict != VerdictCancelled)
+	if res.Verdict == VerdictAnswered || (res.Verdict != VerdictCancelled && !a.mayFail()) {
+		s.countLoss(res.Verdict != VerdictAnswered)
+	}
 	s.learn(now, a, res)
 	if res.Leaving && t.state != StateDraining {
 		s.fire(now, t, triggerLeave, RuleOwnSignal)
@@ -242,7 +244,7 @@
 	s.dispatch(now)
 }
 
-// countLoss takes one more attempt into the share that was not served.
+// countLoss takes one more request into the share that was not served.
 func (s *steered) countLoss(lost bool) {
 	if lost {
 		s.lost += lossWeight * (1 - s.lost)
