--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -30,8 +30,6 @@
 	FloorShare float64
 	// Retries bounds the second attempts that this Loop grants.
 	Retries retry.Config
-	// FirstHome says that no other Loop can have been the home before.
-	FirstHome bool
 	// Seed makes ties repeatable.
 	Seed uint64
 	// Probe asks for a health check of a target, answered by Observe; it is
@@ -155,6 +153,48 @@
 	l.send(func(now time.Time) { l.service(service, now).sched.Observe(now, o) })
 }
 
+// RetryCount is what a home has counted of a service since it last told.
+type RetryCount struct {
+	Service  string `cbor:"1,keyasint"`
+	Requests int    `cbor:"2,keyasint"`
+	Retries  int    `cbor:"3,keyasint"`
+}
+
+// TakeRetryCounts returns what was counted since the last call.
+func (l *Loop) TakeRetryCounts() []RetryCount {
+	reply := make(chan []RetryCount, 1)
+	sent := l.send(func(time.Time) {
+		var list []RetryCount
+		for name, s := range l.services {
+			if c := s.counted; c.Requests > 0 || c.Retries > 0 {
+				c.Service = name
+				list = append(list, c)
+				s.counted = RetryCount{}
+			}
+		}
+		reply <- list
+	})
+	if !sent {
+		return nil
+	}
+	select {
+	case list := <-reply:
+		return list
+	case <-l.done:
+		return nil
+	}
+}
+
+// AddRetryCounts takes what another home has counted: the budget is one for the
+// fleet, whoever is the home.
+func (l *Loop) AddRetryCounts(list []RetryCount) {
+	l.send(func(now time.Time) {
+		for _, c := range list {
+			l.service(c.Service, now).retries.Add(now, c.Requests, c.Retries)
+		}
+	})
+}
+
 // Snapshots returns the state of all Schedulers.
 func (l *Loop) Snapshots() []pool.Snapshot {
 	reply := make(chan []pool.Snapshot, 1)
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -17,10 +17,6 @@
 	// queueLimit bounds the waiting attempts of one service; deadlines refuse
 	// most long before.
 	queueLimit = 2048
-	// takeoverTime is the window of the retry budget, and takeoverShare the part
-	// of it that a Loop grants which has just taken a service over.
-	takeoverTime  = 10 * time.Second
-	takeoverShare = 0.4
 )
 
 // service is the state of one service; it is the Delegate of its Scheduler.
@@ -29,12 +25,10 @@
 	name    string
 	sched   pool.Scheduler
 	retries *retry.Budget
-	// used is when an attempt last came, busySince when they began to come
-	// after a time without any.
-	used      time.Time
-	busySince time.Time
-	ids       map[ID]pool.RequestID
-	open      map[pool.RequestID]*open
+	// counted is what was granted and not yet told to other homes.
+	counted RetryCount
+	ids     map[ID]pool.RequestID
+	open    map[pool.RequestID]*open
 }
 
 // open is an attempt that was submitted and not ended.
@@ -89,22 +83,6 @@
 	s.sched.SetTargets(now, targets)
 }
 
-// noteUse sets the retry budget: while this Loop has just taken over, its
-// predecessor may have granted second attempts that it does not know of.
-func (s *service) noteUse(now time.Time) {
-	if now.Sub(s.used) > takeoverTime {
-		s.busySince = now
-	}
-	s.used = now
-	share := 1.0
-	if !s.loop.cfg.FirstHome && now.Sub(s.busySince) < takeoverTime {
-		share = takeoverShare
-	}
-	s.retries.SetConfig(retry.Config{
-		Share: s.loop.cfg.Retries.Share * share, Floor: int(float64(s.loop.cfg.Retries.Floor) * share),
-	})
-}
-
 func (s *service) submit(now time.Time, a Attempt, reply func(Grant)) {
 	if e, refuse := s.loop.poison.Check(now, a.Fingerprint); refuse {
 		s.loop.cfg.Log.Info("request refused: requests like it crash targets",
@@ -112,14 +90,16 @@
 		reply(Grant{Reason: outcome.ReasonPoison})
 		return
 	}
-	s.noteUse(now)
 	if a.Repeat == First {
 		s.retries.Request(now)
+		s.counted.Requests++
 	} else if a.Repeat != Redirected && !s.retries.Take(now, a.Repeat == Hedge && s.sched.Snapshot(now).Queued > 0) {
 		s.loop.cfg.Log.Info("second attempt refused: the retry budget is spent",
 			"request", a.Request, "service", s.name, "left", s.retries.Left(now))
 		reply(Grant{Reason: outcome.ReasonNoTarget})
 		return
+	} else if a.Repeat != Redirected {
+		s.counted.Retries++
 	}
 	s.loop.lastID++
 	id := s.loop.lastID
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -6,6 +6,9 @@
 	// noticeTime is how long the balancer takes to send no more connections
 	// here once the node is not ready: two checks, a second apart.
 	noticeTime = 2500 * time.Millisecond
+	// refuseTime is how long after the start of the drain requests are still
+	// taken: later ones might not end before the node has to.
+	refuseTime = 2900 * time.Millisecond
 	// exitMargin is how long before SIGKILL the node ends by itself.
 	exitMargin = 400 * time.Millisecond
 	// quietTime is the time without a new connection or request after which the
@@ -23,6 +26,7 @@
 	start := time.Now()
 	end := start.Add(max(n.settings.Bounds.Shutdown-exitMargin, noticeTime))
 	n.draining.Store(true)
+	time.AfterFunc(refuseTime, func() { n.refusing.Store(true) })
 	n.log.Info("stopping", "in_flight", n.callers.InFlight(), "until", end)
 	n.follower.Leave()
 	n.callers.Drain()
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -51,6 +51,7 @@
 	shared *balance.Loop
 	alone  *balance.Loop
 	homes  *homes.Client
+	counts *homes.Counts
 	// targets carries requests, probes health checks, whose answers name no request.
 	targets  *exchange.Client
 	probes   *exchange.Client
@@ -61,6 +62,8 @@
 	attempts atomic.Uint64
 	paths    *paths
 	draining atomic.Bool
+	// refusing says that the drain has gone too far for new requests.
+	refusing atomic.Bool
 }
 
 // New returns a node that is not yet running. It fails if an address cannot be
@@ -121,6 +124,7 @@
 		Self: s.Name, Relays: n.follower, Transport: n.transport, Shared: n.shared, Alone: n.alone, Log: n.log,
 	})
 	homes.Serve(n.shared, n.transport)
+	n.counts = homes.NewCounts(n.shared, n.transport, n.follower, s.Name)
 	return nil
 }
 
@@ -128,7 +132,6 @@
 	return balance.Config{
 		FloorShare: n.settings.Bounds.FloorShare,
 		Retries:    retries,
-		FirstHome:  n.settings.FirstStart,
 		Seed:       xxhash.Sum64String(n.settings.Name),
 		Probe:      n.probe,
 		IsHome:     func(service string) bool { return n.homes.IsHome(service) },
@@ -157,6 +160,7 @@
 	tasks.Go(func() { n.alone.Run(work) })
 	tasks.Go(func() { n.follower.Run(work) })
 	tasks.Go(func() { n.spreadViews(work) })
+	tasks.Go(func() { n.counts.Run(work) })
 	go func() { failed <- n.callers.Run() }()
 	go func() { failed <- n.ready.run() }()
 	go func() { failed <- n.transport.Serve(n.control) }()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,8 +61,10 @@
 
 // Serve implements ingress.Handler.
 func (n *Node) Serve(ctx context.Context, in *ingress.Request) *protocol.Response {
-	view := n.replica.View()
-	r, refusal := newRequest(view, in)
+	if n.refusing.Load() {
+		return n.answer(in, refused(outcome.ReasonShutdown, minRetryAfter))
+	}
+	r, refusal := newRequest(n.replica.View(), in)
 	if r == nil {
 		return n.answer(in, refusal)
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -51,6 +51,14 @@
 	b.bucket(now).requests++
 }
 
+// Add takes requests and second attempts that another budget of the same
+// service has counted.
+func (b *Budget) Add(now time.Time, requests, retries int) {
+	bk := b.bucket(now)
+	bk.requests += requests
+	bk.retries += retries
+}
+
 // Take asks for one second attempt, a retry or a hedge. Queued says that work
 // of the service waits for a slot: a second attempt would then take the place
 // of a first one, so the budget is empty. Take reports whether the attempt is
