--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -38,7 +38,7 @@
 	// bootPatience is how long a node waits for a seed when the whole fleet
 	// starts, and seedPatience when only it does, before it reads the store.
 	bootPatience = 900 * time.Millisecond
-	seedPatience = 250 * time.Millisecond
+	seedPatience = 100 * time.Millisecond
 )
 
 var (
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -22,6 +22,13 @@
 // configuration yet.
 const startupRetryAfter = 500 * time.Millisecond
 
+const (
+	// startupWait bounds the wait of a request for the first configuration, and
+	// startupShare is the part of the caller's time that it may take: one in so many.
+	startupWait  = 400 * time.Millisecond
+	startupShare = 4
+)
+
 // request is one caller's request on its way.
 type request struct {
 	*ingress.Request
@@ -64,7 +71,7 @@
 	if n.refusing.Load() {
 		return n.answer(in, refused(outcome.ReasonShutdown, minRetryAfter))
 	}
-	r, refusal := newRequest(n.replica.View(), in)
+	r, refusal := newRequest(n.configuredView(ctx, in), in)
 	if r == nil {
 		return n.answer(in, refusal)
 	}
@@ -73,6 +80,32 @@
 	return n.answer(in, n.carry(ctx, r))
 }
 
+// configuredView returns the present view. A node that has just started waits a
+// moment for its first configuration: a refusal would cost the caller more.
+func (n *Node) configuredView(ctx context.Context, in *ingress.Request) *replica.View {
+	view := n.replica.View()
+	if view.Config != nil {
+		return view
+	}
+	wait := startupWait
+	if left, ok := platform.ParseTimeLeft(string(in.Header.Peek(platform.HeaderTimeLeft))); ok {
+		wait = min(wait, left/startupShare)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		changed := n.replica.Changed()
+		if view = n.replica.View(); view.Config != nil {
+			return view
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return view
+		}
+	}
+}
+
 // newRequest finds the route of a request. It returns nil and the answer if
 // there is none.
 func newRequest(view *replica.View, in *ingress.Request) (*request, result) {
--- a/pool/belief.go
+++ b/pool/belief.go
@@ -19,7 +19,7 @@
 	// faultTime and soundTime are the mean times that a target stays faulty and
 	// sound. Shorter ones try faulty targets again sooner and forget success sooner.
 	faultTime = 5 * time.Second
-	soundTime = 25 * time.Second
+	soundTime = 12 * time.Second
 	// restFaulty is the share of time that a target is faulty by these times.
 	restFaulty = float64(faultTime) / float64(faultTime+soundTime)
 	// newFaulty is the belief about a target that has just been listed.
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -33,9 +33,8 @@
 	// patience is the share of the time until its due time for which an attempt
 	// waits for a better target.
 	patience = 0.5
-	// riskFloor is the risk up to which targets count as equally sound: a new
-	// target must be able to compete with one that has just answered.
-	riskFloor = 0.05
+	// riskFloor is the risk up to which targets count as equally sound.
+	riskFloor = 0.005
 	// spreadLoss is the share of lost work above which all targets that may be
 	// sound are used in turn; the floor counts from a tenth.
 	spreadLoss = 0.07
@@ -97,7 +96,7 @@
 			continue
 		}
 		a.started, a.target = now, t
-		t.used = now
+		t.used, t.joined = now, false
 		t.running[a.ID] = a
 		s.running[a.ID] = a
 		s.delegate.Start(a.ID, t.Name)
@@ -196,6 +195,10 @@
 	}
 	usual := float64(s.latency(a.Route))
 	risk = max(0, risk-riskFloor)
+	if t.joined {
+		// Its first request shows what a new target is worth.
+		risk = 0
+	}
 	loss := lossCost
 	if a.mayFail() {
 		loss = repeatCost
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -21,7 +21,7 @@
 	// suspicionBelief and clearBelief are the beliefs at which a target counts
 	// as suspected and as cleared.
 	suspicionBelief = 0.5
-	clearBelief     = 0.25
+	clearBelief     = 0.35
 	// learnShare is the weight of the latest answer in a route's usual latency
 	// and a target's slowness.
 	learnShare = 0.05
@@ -33,10 +33,10 @@
 	coldSlowness = 2
 	// overdueFactor and overdueMin say when a running attempt is overdue:
 	// after so many times the usual latency and at least so long.
-	overdueFactor = 5
+	overdueFactor = 3
 	overdueMin    = 150 * time.Millisecond
 	// overdueRatio is the likelihood ratio of an attempt that is overdue.
-	overdueRatio = 5
+	overdueRatio = 3
 	// limitRecovery is the time after which a lowered limit rises by one slot,
 	// and limitShare the least share of the slots that it leaves: a refusal may
 	// be a gray failure, and a repeated attempt costs little.
@@ -75,8 +75,10 @@
 	slowness float64
 	limit    limit
 	running  map[RequestID]*steeredAttempt
-	// used is when it was last given an attempt.
-	used time.Time
+	// used is when it was last given an attempt; joined says that it came to a
+	// list that was known and has not been used yet.
+	used   time.Time
+	joined bool
 }
 
 // steeredAttempt is an attempt that was submitted and not ended.
@@ -143,7 +145,7 @@
 			limit: limit{slots: listed.Slots}, running: make(map[RequestID]*steeredAttempt),
 		}
 		if s.adopted {
-			t.slowness = coldSlowness
+			t.slowness, t.joined = coldSlowness, true
 		}
 		t.machine = newMachine(&t.state)
 		s.targets[listed.Name] = t
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"filbertmill.example/testbed/backend"
+)
+
+// The bounds of the promises, as the nodes' settings state them.
+const (
+	drainBound  = 2 * time.Second
+	applyBound  = 2 * time.Second
+	budgetRatio = 0.2
+	budgetExtra = 50
+	budgetTime  = 10 * time.Second
+	// contactTime is how long after a fault the bounds in time do not hold yet.
+	contactTime = 6 * time.Second
+	// olderSlack is how long after a version was seen requests that were sent
+	// before may still be served by an older one.
+	olderSlack = 500 * time.Millisecond
+	// recoverTime is how long after the last fault service must be back, and
+	// recoverShare the share that must be served then.
+	recoverTime  = 10 * time.Second
+	recoverShare = 0.95
+)
+
+// check returns the promises that were broken.
+func check(h *history) []string {
+	return slices.Concat(
+		checkOnce(h), checkRefusals(h), checkWhole(h), checkOlder(h), checkApplied(h), checkDrained(h),
+		checkBudget(h), checkRecovered(h))
+}
+
+// checkOnce reports requests of the unsafe route that ran twice.
+func checkOnce(h *history) []string {
+	var broken []string
+	first := make(map[string]backend.Run)
+	for _, r := range h.runs {
+		other, again := first[r.Request]
+		if again && r.Path == "/book/x" {
+			broken = append(broken, fmt.Sprintf("%s ran on %s and again on %s", r.Request, other.Target, r.Target))
+		}
+		first[r.Request] = r
+	}
+	return broken
+}
+
+// checkRefusals reports requests of the unsafe route that were said not to have
+// run and did.
+func checkRefusals(h *history) []string {
+	var broken []string
+	ran := make(map[string]bool)
+	for _, r := range h.runs {
+		ran[r.Request] = true
+	}
+	for _, c := range h.calls {
+		refused := c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
+		if c.route == "book" && refused && ran[c.id] {
+			broken = append(broken, fmt.Sprintf("%s was answered %d and ran", c.id, c.status))
+		}
+	}
+	return broken
+}
+
+// checkWhole reports successes that are not the whole answer to their request.
+func checkWhole(h *history) []string {
+	var broken []string
+	for _, c := range h.calls {
+		if c.status == http.StatusOK && !c.whole {
+			broken = append(broken, fmt.Sprintf("%s got another answer than its own", c.id))
+		}
+	}
+	return broken
+}
+
+// checkOlder reports nodes that went back to an older configuration in one life.
+func checkOlder(h *history) []string {
+	type life struct {
+		node string
+		life int
+	}
+	type sight struct {
+		version int
+		at      time.Time
+	}
+	newest := make(map[life]sight)
+	var broken []string
+	calls := slices.Clone(h.calls)
+	slices.SortFunc(calls, func(a, b call) int { return a.ended.Compare(b.ended) })
+	for _, c := range calls {
+		key := life{c.node, c.life}
+		seen := newest[key]
+		switch {
+		case c.version == 0:
+		case c.status == http.StatusOK && c.version < seen.version && c.sent.After(seen.at.Add(olderSlack)):
+			broken = append(broken, fmt.Sprintf("%s served %s by version %d after version %d", c.node, c.id, c.version, seen.version))
+		case c.status == http.StatusNotFound && c.version == seen.version && c.version == len(h.versions) && c.sent.After(seen.at.Add(olderSlack)):
+			broken = append(broken, fmt.Sprintf("%s no longer knows version %d (%s)", c.node, c.version, c.id))
+		case c.status == http.StatusOK && c.version > seen.version:
+			newest[key] = sight{c.version, c.ended}
+		}
+	}
+	return broken
+}
+
+// checkApplied reports nodes that did not know a version in time, while nothing
+// was disturbed.
+func checkApplied(h *history) []string {
+	var broken []string
+	for _, c := range h.calls {
+		if c.version == 0 || c.status != http.StatusNotFound {
+			continue
+		}
+		acknowledged := h.versions[c.version-1]
+		superseded := c.version < len(h.versions) && h.versions[c.version].Before(c.ended)
+		late := c.sent.After(acknowledged.Add(applyBound))
+		if late && !superseded && !h.disturbedWithin(c.sent.Add(-contactTime), c.sent) {
+			broken = append(broken, fmt.Sprintf("%s did not know version %d %s after it was acknowledged (%s)",
+				c.node, c.version, c.sent.Sub(acknowledged).Round(time.Millisecond), c.id))
+		}
+	}
+	return broken
+}
+
+// checkDrained reports work on targets that had reported that they leave.
+func checkDrained(h *history) []string {
+	var broken []string
+	for _, l := range h.leaves {
+		for _, a := range h.arrivals {
+			late := a.Target == l.what && a.At.After(l.at.Add(drainBound))
+			if late && !h.disturbedWithin(a.At.Add(-contactTime), a.At) {
+				broken = append(broken, fmt.Sprintf("%s reached %s %s after that reported to leave",
+					a.Request, a.Target, a.At.Sub(l.at).Round(time.Millisecond)))
+			}
+		}
+	}
+	return broken
+}
+
+// checkBudget reports windows with more repeated arrivals than the fleet may send.
+func checkBudget(h *history) []string {
+	var broken []string
+	for _, service := range services {
+		var firsts, repeats []time.Time
+		seen := make(map[string]bool)
+		arrivals := slices.Clone(h.arrivals)
+		slices.SortFunc(arrivals, func(a, b backend.Arrival) int { return a.At.Compare(b.At) })
+		for _, a := range arrivals {
+			switch {
+			case a.Service != service:
+			case seen[a.Request]:
+				repeats = append(repeats, a.At)
+			default:
+				seen[a.Request] = true
+				firsts = append(firsts, a.At)
+			}
+		}
+		for _, start := range repeats {
+			n := within(repeats, start, budgetTime)
+			allowed := budgetRatio*float64(max(within(firsts, start, budgetTime), within(firsts, start.Add(-budgetTime), budgetTime))) + budgetExtra
+			if float64(n) > allowed {
+				broken = append(broken, fmt.Sprintf("service %s: %d repeated arrivals in %s, %.0f allowed", service, n, budgetTime, allowed))
+				break
+			}
+		}
+	}
+	return broken
+}
+
+// within counts the times in a window.
+func within(times []time.Time, start time.Time, length time.Duration) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(start) && t.Before(start.Add(length)) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkRecovered reports a fleet that does not serve again after the last fault.
+func checkRecovered(h *history) []string {
+	served, all := 0, 0
+	for _, c := range h.calls {
+		if c.version > 0 || c.sent.Before(h.calm.Add(recoverTime)) {
+			continue
+		}
+		all++
+		if c.status == http.StatusOK {
+			served++
+		}
+	}
+	if all == 0 || float64(served) < recoverShare*float64(all) {
+		return []string{fmt.Sprintf("%d of %d requests served after the last fault", served, all)}
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/testbed/backend"
+)
+
+var began = time.Unix(1_700_000_000, 0)
+
+func at(s float64) time.Time { return began.Add(time.Duration(s * float64(time.Second))) }
+
+// TestCheckersBite breaks each promise once and lets every other stand.
+func TestCheckersBite(t *testing.T) {
+	sound := func() *history {
+		h := &history{versions: []time.Time{at(-30), at(-20)}, calm: at(0)}
+		for i := range 50 {
+			id := "ok" + string(rune('a'+i))
+			sent := at(float64(i))
+			h.calls = append(h.calls, call{id: id, route: "book", sent: sent, ended: sent, status: 200, whole: true, node: "n", life: 1})
+			h.runs = append(h.runs, backend.Run{Request: id, Path: "/book/x", Target: "t", Start: sent})
+			h.arrivals = append(h.arrivals, backend.Arrival{Request: id, Service: "book", Target: "t", At: sent})
+		}
+		return h
+	}
+	qt.Assert(t, check(sound()), qt.HasLen, 0)
+
+	cases := map[string]struct {
+		spoil func(*history)
+		want  string
+	}{
+		"twice":           {func(h *history) { h.runs = append(h.runs, h.runs[3]) }, `okd ran on t and again on t`},
+		"refused and run": {func(h *history) { h.calls[4].status = 503 }, `oke was answered 503 and ran`},
+		"cut answer":      {func(h *history) { h.calls[5].whole = false }, `okf got another answer than its own`},
+		"older configuration": {func(h *history) {
+			h.calls[10].version, h.calls[10].route = 2, "v2"
+			h.calls[20].version, h.calls[20].route = 1, "v1"
+		}, `n served oku by version 1 after version 2`},
+		"late configuration": {func(h *history) {
+			h.calls[10].version, h.calls[10].status = 2, 404
+		}, `n did not know version 2 30s after it was acknowledged \(okk\)`},
+		"work while leaving": {func(h *history) { h.leaves = []moment{{"t", at(46)}} }, `ok. reached t 3s after that reported to leave`},
+		"budget": {func(h *history) {
+			for range 61 {
+				h.arrivals = append(h.arrivals, h.arrivals[8])
+			}
+		}, `service book: 61 repeated arrivals in 10s, 5[0-9] allowed`},
+		"no recovery": {func(h *history) {
+			for i := 20; i < 30; i++ {
+				h.calls[i].status = 0
+			}
+		}, `30 of 40 requests served after the last fault`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := sound()
+			tc.spoil(h)
+			broken := check(h)
+			qt.Assert(t, broken, qt.HasLen, 1)
+			qt.Check(t, broken[0], qt.Matches, tc.want)
+		})
+	}
+}
+
+// TestScheduleRepeats draws the same schedule for the same seed.
+func TestScheduleRepeats(t *testing.T) {
+	draw := func(seed uint64) []step { return newSchedule(rand.New(rand.NewPCG(seed, 0)), 20*time.Second, 6) }
+	qt.Check(t, slices.Equal(draw(7), draw(7)), qt.IsTrue)
+	qt.Check(t, len(draw(7)) > 5, qt.IsTrue)
+}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,102 @@
+// Command soak runs gateway nodes as processes on loopback, with a stand-in of
+// the platform's store and of targets, injects faults from outside them, and
+// checks what the fleet promises from what callers and targets see.
+//
+// The same seed gives the same schedule of faults; the operating system's
+// timing differs from run to run. Exit codes: 0 all promises held, 1 one was
+// broken or the run failed, 2 wrong command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+
+	"filbertmill.example/testbed/process"
+)
+
+// arguments are the command line.
+type arguments struct {
+	Seed    uint64        `arg:"--seed" default:"1" help:"seed of the first run"`
+	Seeds   int           `arg:"--seeds" default:"1" help:"number of runs, with consecutive seeds"`
+	Fresh   bool          `arg:"--fresh" help:"draw the first seed from the clock"`
+	For     time.Duration `arg:"--for" default:"20s" help:"length of the faults of one run"`
+	Nodes   int           `arg:"--nodes" default:"6" help:"number of nodes"`
+	Rate    float64       `arg:"--rate" default:"60" help:"requests a second"`
+	Dir     string        `arg:"--dir" help:"where logs of failed runs are kept; default: a new temporary directory"`
+	Program string        `arg:"--program" help:"the filbertmill program; default: built from this tree"`
+}
+
+func main() {
+	hlog.SetLevel(hlog.LevelFatal)
+	var a arguments
+	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, a); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// run plays the runs one after another and stops at the first broken promise.
+func run(ctx context.Context, a arguments) error {
+	var err error
+	if a.Dir == "" {
+		if a.Dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return err
+		}
+	}
+	if a.Program == "" {
+		if a.Program, err = process.Build(a.Dir); err != nil {
+			return err
+		}
+	}
+	if a.Fresh {
+		a.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	for i := range a.Seeds {
+		seed := a.Seed + uint64(i)
+		if err := playSeed(ctx, a, seed); err != nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// playSeed plays one run and reports it.
+func playSeed(ctx context.Context, a arguments, seed uint64) error {
+	dir := filepath.Join(a.Dir, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	rng := rand.New(rand.NewPCG(seed, 0))
+	schedule := newSchedule(rng, a.For, a.Nodes)
+	w, err := newWorld(ctx, dir, a, rng)
+	if err != nil {
+		return fmt.Errorf("seed %d: %w", seed, err)
+	}
+	defer w.close()
+	w.play(ctx, schedule)
+	broken := check(w.history())
+	fmt.Printf("seed %d: %s; %d faults\n", seed, w.summary(), len(schedule))
+	if len(broken) == 0 {
+		return os.RemoveAll(dir)
+	}
+	for _, s := range schedule {
+		fmt.Println("  ", s)
+	}
+	for _, b := range broken {
+		fmt.Println("broken:", b)
+	}
+	return fmt.Errorf("seed %d broke a promise; logs are in %s; again: go run ./soak --seed %d --for %s --nodes %d --rate %g",
+		seed, dir, seed, a.For, a.Nodes, a.Rate)
+}
--- /dev/null
+++ b/soak/schedule.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// kind names a fault or change.
+type kind string
+
+// The faults and changes.
+const (
+	killNode      kind = "kill_node"
+	pauseNode     kind = "pause_node"
+	stopNode      kind = "stop_node"
+	killAll       kind = "kill_all"
+	cutStore      kind = "cut_store"
+	silenceStore  kind = "silence_store"
+	storeAway     kind = "store_away"
+	storeRefuses  kind = "store_refuses"
+	storeSlow     kind = "store_slow"
+	storeForgets  kind = "store_forgets"
+	storeDeaf     kind = "store_deaf"
+	leasesLapse   kind = "leases_lapse"
+	repliesLost   kind = "replies_lost"
+	targetResets  kind = "target_resets"
+	targetLoses   kind = "target_loses"
+	targetFails   kind = "target_fails"
+	targetHangs   kind = "target_hangs"
+	targetFull    kind = "target_full"
+	targetTwice   kind = "target_twice"
+	targetCut     kind = "target_cut"
+	targetOneWay  kind = "target_one_way"
+	targetLeaves  kind = "target_leaves"
+	targetCrashes kind = "target_crashes"
+	configure     kind = "configure"
+)
+
+var kinds = []kind{
+	killNode, pauseNode, stopNode, killAll, cutStore, silenceStore, storeAway, storeRefuses, storeSlow, storeForgets,
+	storeDeaf, leasesLapse, repliesLost, targetResets, targetLoses, targetFails, targetHangs, targetFull, targetTwice,
+	targetCut, targetOneWay, targetLeaves, targetCrashes, configure, configure, configure,
+}
+
+// step is one fault of a run.
+type step struct {
+	at    time.Duration
+	kind  kind
+	index int
+	lasts time.Duration
+}
+
+// String describes the step.
+func (s step) String() string {
+	return fmt.Sprintf("%6.2f s %s %d for %.1f s", s.at.Seconds(), s.kind, s.index, s.lasts.Seconds())
+}
+
+const (
+	// meanGap is the mean time between two steps; they overlap.
+	meanGap = 1200 * time.Millisecond
+	// minLast and maxLast bound how long a fault lasts.
+	minLast = 500 * time.Millisecond
+	maxLast = 4 * time.Second
+)
+
+// newSchedule draws the steps of a run.
+func newSchedule(rng *rand.Rand, length time.Duration, nodes int) []step {
+	var list []step
+	for at := time.Second; at < length; at += time.Duration(rng.ExpFloat64() * float64(meanGap)) {
+		list = append(list, step{
+			at: at, kind: kinds[rng.IntN(len(kinds))], index: rng.IntN(nodes * backendsPerService),
+			lasts: minLast + time.Duration(rng.Int64N(int64(maxLast-minLast))),
+		})
+	}
+	slices.SortFunc(list, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"filbertmill.example/platform"
+	"filbertmill.example/testbed/backend"
+	"filbertmill.example/testbed/faultproxy"
+	"filbertmill.example/testbed/memory"
+	"filbertmill.example/testbed/process"
+	"filbertmill.example/testbed/standin"
+)
+
+const (
+	// backendsPerService is the number of targets of each service.
+	backendsPerService = 5
+	// backendSlots is what each runs at once, backendWork how long a run takes.
+	backendSlots = 3
+	backendWork  = 20 * time.Millisecond
+	// settleTime is how long a run goes on after its last fault has ended.
+	settleTime = 16 * time.Second
+	// restartDelay is how long a node that ended stays away.
+	restartDelay = 300 * time.Millisecond
+)
+
+var (
+	zones    = []string{"north", "south"}
+	services = []string{"look", "book"}
+)
+
+// node is one gateway with the proxy on its way to the store.
+type node struct {
+	spec  process.Gateway
+	store *faultproxy.Proxy
+
+	mu      sync.Mutex
+	process *process.Node
+	// life counts the processes that ran.
+	life int
+}
+
+// target is one backend with the proxy in front of it.
+type target struct {
+	*backend.Backend
+	proxy *faultproxy.Proxy
+}
+
+// world is everything that runs.
+type world struct {
+	dir     string
+	program string
+	rate    float64
+	start   time.Time
+
+	platform *standin.Standin
+	store    *platform.Client
+	ledger   *backend.Ledger
+	nodes    []*node
+	clients  sync.WaitGroup
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	targets []*target
+	version int
+	record  history
+}
+
+// newWorld starts the platform, the targets and the nodes.
+func newWorld(ctx context.Context, dir string, a arguments, rng *rand.Rand) (*world, error) {
+	w := &world{dir: dir, program: a.Program, rate: a.Rate, ledger: &backend.Ledger{}, rng: rng, start: time.Now()}
+	var err error
+	if w.platform, err = standin.Start("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	if w.store, err = platform.NewClientFor(w.platform.URL()); err != nil {
+		return nil, err
+	}
+	for i := range backendsPerService {
+		for _, s := range services {
+			if err := w.addTarget(fmt.Sprintf("i-%s-%d", s, i), s, zones[i%len(zones)]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if err := w.configure(ctx); err != nil {
+		return nil, err
+	}
+	specs, err := process.NewGateways(a.Nodes, zones, "")
+	if err != nil {
+		return nil, err
+	}
+	for _, spec := range specs {
+		if err := w.addNode(spec); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range w.nodes {
+		if err := n.process.Ready(ctx); err != nil {
+			return nil, err
+		}
+	}
+	w.start = time.Now()
+	return w, nil
+}
+
+func (w *world) addNode(spec process.Gateway) error {
+	proxy, err := faultproxy.Listen("127.0.0.1:0", strings.TrimPrefix(w.platform.URL(), "http://"))
+	if err != nil {
+		return err
+	}
+	spec.Store = proxy.Address()
+	n := &node{spec: spec, store: proxy}
+	w.nodes = append(w.nodes, n)
+	return w.startNode(n)
+}
+
+func (w *world) startNode(n *node) error {
+	p, err := process.StartGateway(w.program, w.dir, n.spec)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.process, n.life = p, n.life+1
+	n.spec.FirstStart = false
+	return nil
+}
+
+func (w *world) addTarget(id, service, zone string) error {
+	t := &target{}
+	var err error
+	t.Backend, err = backend.Start(backend.Spec{
+		ID: id, Service: service, AvailabilityZone: zone, Slots: backendSlots,
+		Advertise: func(address string) (string, error) {
+			var err error
+			if t.proxy, err = faultproxy.Listen("127.0.0.1:0", address); err != nil {
+				return "", err
+			}
+			return t.proxy.Address(), nil
+		},
+	}, w.store, w.ledger)
+	if err != nil {
+		return err
+	}
+	t.Set(backend.Behavior{Work: backendWork})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.targets = append(w.targets, t)
+	return nil
+}
+
+// configure writes the next configuration: a route of its own for each version,
+// beside the lasting ones.
+func (w *world) configure(ctx context.Context) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := w.version + 1
+	route := func(name, kind, service string) string {
+		return fmt.Sprintf(`{"name":%[1]q,"kind":%[2]q,"slo-s":0.5,"priority":1,"match":{"prefix":"/%[1]s/"},
+			"action":{"service":%[3]q,"timeout-s":1.5,"attempts":3}}`, name, kind, service)
+	}
+	routes := []string{route("look", "safe", "look"), route("book", "unsafe", "book"), route(versionRoute(next), "safe", "look")}
+	text := fmt.Sprintf(`{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,
+		"idle-timeout-s":15},"listeners":[{"host":"g.example","policy":[%s]}],
+		"clusters":[{"name":"look","health-path":"/health","max-conns":60},{"name":"book","health-path":"/health","max-conns":60}]}`,
+		next, strings.Join(routes, ","))
+	if _, err := w.store.Txn(ctx, nil, []platform.Put{{Key: platform.ConfigurationKey, Value: []byte(text)}}); err != nil {
+		return err
+	}
+	w.version = next
+	w.record.configured(next, time.Now())
+	return nil
+}
+
+func versionRoute(version int) string { return fmt.Sprintf("v%d", version) }
+
+// play runs callers and faults until all has settled.
+func (w *world) play(ctx context.Context, schedule []step) {
+	callers, stop := context.WithCancel(ctx)
+	w.clients.Go(func() { w.callAll(callers) })
+	var faults sync.WaitGroup
+	for _, s := range schedule {
+		sleep(ctx, time.Until(w.start.Add(s.at)))
+		faults.Go(func() { w.inject(ctx, s) })
+	}
+	faults.Wait()
+	w.record.settled(time.Now())
+	sleep(ctx, settleTime)
+	stop()
+	w.clients.Wait()
+}
+
+// history returns what was seen, with what the targets ran.
+func (w *world) history() *history {
+	w.record.runs = w.ledger.Runs()
+	w.record.arrivals = w.ledger.Arrivals()
+	return &w.record
+}
+
+func (w *world) summary() string { return w.record.summary() }
+
+// close ends what this run started, by process id.
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.process.Kill()
+		n.store.Close()
+	}
+	for _, t := range w.targets {
+		t.Close()
+		t.proxy.Close()
+	}
+	_ = w.platform.Close()
+}
+
+// sleep waits, or returns early when the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// setStore changes the store's faults.
+func (w *world) setStore(f memory.Faults) { w.platform.Store.SetFaults(f) }
--- a/testbed/backend/backend.go
+++ b/testbed/backend/backend.go
@@ -45,6 +45,9 @@
 	AvailabilityZone string
 	// Slots is the number of requests run at once.
 	Slots int
+	// Advertise returns the address that is reported for the one listened on, as
+	// that of a fault proxy; nil reports the latter.
+	Advertise func(address string) (string, error)
 }
 
 // Run is one run of a request.
@@ -59,8 +62,30 @@
 
 // Ledger records what backends ran and saw. It is safe for concurrent use.
 type Ledger struct {
-	mu   sync.Mutex
-	runs []Run
+	mu       sync.Mutex
+	runs     []Run
+	arrivals []Arrival
+}
+
+// Arrival is a request that reached a target, whether it ran or not.
+type Arrival struct {
+	Request string
+	Service string
+	Target  string
+	At      time.Time
+}
+
+// Arrivals returns all arrivals so far.
+func (l *Ledger) Arrivals() []Arrival {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Arrival(nil), l.arrivals...)
+}
+
+func (l *Ledger) arrive(a Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, a)
 }
 
 // Runs returns all runs so far.
@@ -81,6 +106,7 @@
 	Spec
 	ledger   *Ledger
 	store    *platform.Client
+	address  string
 	born     int64
 	listener net.Listener
 	server   *http.Server
@@ -109,6 +135,13 @@
 		Spec: spec, ledger: ledger, store: store, born: time.Now().UnixMilli(),
 		listener: l, slots: make(chan struct{}, spec.Slots), stop: stop,
 	}
+	b.address = l.Addr().String()
+	if spec.Advertise != nil {
+		if b.address, err = spec.Advertise(b.address); err != nil {
+			stop()
+			return nil, errors.Wrap(err, "backend")
+		}
+	}
 	b.behavior.Store(&Behavior{})
 	b.lease.Store(platform.LeaseID(""))
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), ReadHeaderTimeout: 5 * time.Second}
@@ -117,8 +150,8 @@
 	return b, nil
 }
 
-// Address returns where the backend listens.
-func (b *Backend) Address() string { return b.listener.Addr().String() }
+// Address returns the address that the backend reports.
+func (b *Backend) Address() string { return b.address }
 
 // Set changes the behavior.
 func (b *Backend) Set(behavior Behavior) { b.behavior.Store(&behavior) }
@@ -198,7 +231,9 @@
 		w.Header().Set(platform.HeaderTargetID, b.ID)
 		w.WriteHeader(platform.StatusMisdirected)
 		return
-	case drawn(behavior.ResetShare):
+	}
+	b.ledger.arrive(Arrival{Request: id, Service: b.Service, Target: b.ID, At: time.Now()})
+	if drawn(behavior.ResetShare) {
 		reset(w)
 		return
 	}
