--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,11 +70,15 @@
 	granted(lease.Grant)
 	start := time.Now()
 	e, crashed := n.send(ctx, r, t)
-	e.granted, e.target, e.name = true, t.ID, lease.Target
+	e.granted, e.target, e.name, e.home = true, t.ID, lease.Target, lease.Home
 	n.paths.note(time.Now(), lease.Target, e.verdict)
 	finish(balance.Report{Verdict: e.verdict, Latency: time.Since(start), Crashed: crashed})
 	n.stats.attempts.Add(verdictName(e.verdict), 1)
-	n.log.Debug("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", verdictName(e.verdict),
+	line := n.log.Info
+	if e.verdict == pool.VerdictAnswered && p.repeat == balance.First {
+		line = n.log.Debug // the line on the answer says it all
+	}
+	line("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", verdictName(e.verdict),
 		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.repeat, "detail", e.outcome.Detail)
 	return e
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -164,6 +164,7 @@
 	go func() { failed <- n.callers.Run() }()
 	go func() { failed <- n.ready.run() }()
 	go func() { failed <- n.transport.Serve(n.control) }()
+	n.publishState()
 	n.log.Info("started", "run", n.run, "callers", n.settings.CallerAddress, "store", n.settings.StoreAddress)
 	var err error
 	select {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -42,6 +42,8 @@
 	due         time.Time
 	fingerprint poison.Fingerprint
 	onward      *protocol.Request
+	// version is that of the configuration by which it was routed.
+	version dynamic.Revision
 }
 
 // Limits implements ingress.Handler.
@@ -77,7 +79,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	return n.answer(in, n.carry(ctx, r))
+	res := n.carry(ctx, r)
+	res.version = r.version
+	return n.answer(in, res)
 }
 
 // configuredView returns the present view. A node that has just started waits a
@@ -128,6 +132,7 @@
 		idempotent: route.Idempotency == dynamic.IdempotentAlways,
 		deadline:   in.Received.Add(patience),
 		onward:     hop.Onward(&in.Header),
+		version:    view.Config.Revision,
 	}
 	r.due = r.deadline
 	if route.LatencyObjective > 0 {
@@ -170,8 +175,12 @@
 	outcome outcome.Outcome
 	// response is a target's answer; nil if filbertmill itself answers.
 	response *protocol.Response
-	// target is the target that had the request last.
+	// target is the target that had the request last, and home the node that
+	// chose it; empty if this node chose alone.
 	target string
+	home   string
+	// version is that of the configuration by which the request was routed.
+	version dynamic.Revision
 }
 
 // refused returns the result of a request that no target has run.
@@ -184,7 +193,7 @@
 // answer makes the response of a result.
 func (n *Node) answer(in *ingress.Request, res result) *protocol.Response {
 	n.logAnswer(in, res)
-	n.stats.requests.Add(string(res.outcome.Reason), 1)
+	n.stats.countAnswer(res.outcome, time.Since(in.Received))
 	if res.response != nil {
 		hop.StripResponse(&res.response.Header)
 		return res.response
@@ -218,6 +227,7 @@
 	}
 	line("answered", "request", string(in.Header.Peek(platform.HeaderRequestID)), "host", string(in.Header.Host()),
 		"path", string(in.Path()), "status", status, "outcome", res.outcome.Kind, "reason", res.outcome.Reason,
-		"detail", res.outcome.Detail, "target", res.target, "retry_after_ms", res.outcome.RetryAfter.Milliseconds(),
+		"detail", res.outcome.Detail, "target", res.target, "home", res.home,
+		"version", res.version, "retry_after_ms", res.outcome.RetryAfter.Milliseconds(),
 		"elapsed_ms", time.Since(in.Received).Milliseconds())
 }
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -3,12 +3,23 @@
 import (
 	"expvar"
 	"strings"
+	"sync"
+	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"filbertmill.example/outcome"
 	"filbertmill.example/platform"
 )
 
+// Bounds and precision of the latency histograms, in milliseconds and digits.
+const (
+	latencyMin    = 1
+	latencyMax    = 60_000
+	latencyDigits = 2
+)
+
 // stats are the node's counters, published once a process.
 type stats struct {
 	// requests counts answers by outcome reason, attempts by verdict, and
@@ -16,15 +27,54 @@
 	requests   *expvar.Map
 	attempts   *expvar.Map
 	storeCalls *expvar.Map
+
+	mu sync.Mutex
+	// latencies holds the time to the answer by outcome.
+	latencies map[outcome.Kind]*hdrhistogram.Histogram
 }
 
-var published = stats{
-	requests:   expvar.NewMap("requests"),
-	attempts:   expvar.NewMap("attempts"),
-	storeCalls: expvar.NewMap("store_calls"),
+var published = newPublished()
+
+func newPublished() *stats {
+	s := &stats{
+		requests:   expvar.NewMap("requests"),
+		attempts:   expvar.NewMap("attempts"),
+		storeCalls: expvar.NewMap("store_calls"),
+		latencies:  make(map[outcome.Kind]*hdrhistogram.Histogram),
+	}
+	expvar.Publish("latency_ms", expvar.Func(s.quantiles))
+	return s
 }
 
-func newStats() *stats { return &published }
+func newStats() *stats { return published }
+
+// countAnswer takes one answer to a caller.
+func (s *stats) countAnswer(o outcome.Outcome, elapsed time.Duration) {
+	s.requests.Add(string(o.Reason), 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.latencies[o.Kind]
+	if h == nil {
+		h = hdrhistogram.New(latencyMin, latencyMax, latencyDigits)
+		s.latencies[o.Kind] = h
+	}
+	// The value is within the bounds, so that it cannot be refused.
+	_ = h.RecordValue(min(max(elapsed.Milliseconds(), latencyMin), latencyMax))
+}
+
+// quantiles returns the latencies by outcome and quantile.
+func (s *stats) quantiles() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[outcome.Kind]map[string]int64)
+	for kind, h := range s.latencies {
+		all[kind] = map[string]int64{
+			"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p90": h.ValueAtQuantile(90),
+			"p99": h.ValueAtQuantile(99), "max": h.Max(),
+		}
+	}
+	return all
+}
 
 func (s *stats) countStoreCall(uri string, err error) {
 	path, _, _ := strings.Cut(uri, "?")
@@ -37,3 +87,26 @@
 	}
 	s.storeCalls.Add(path+" "+result, 1)
 }
+
+// publishState publishes what the node believes.
+func (n *Node) publishState() {
+	expvar.Publish("configuration", expvar.Func(func() any {
+		view := n.replica.View()
+		state := map[string]int64{"revision": int64(view.Revision)}
+		if view.Config != nil {
+			state["version"] = int64(view.Config.Revision)
+		}
+		return state
+	}))
+	expvar.Publish("targets", expvar.Func(func() any {
+		all := make(map[string]map[string]int)
+		for _, snap := range n.shared.Snapshots() {
+			states := make(map[string]int)
+			for _, t := range snap.Targets {
+				states[t.State]++
+			}
+			all[snap.Service] = states
+		}
+		return all
+	}))
+}
