--- /dev/null
+++ b/gateway/follow/follower_test.go
@@ -0,0 +1,156 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"filbertmill.example/fleet/control"
+	"filbertmill.example/gateway/replica"
+	"filbertmill.example/platform"
+	"filbertmill.example/testbed/memory"
+	"filbertmill.example/testbed/standin"
+)
+
+// member is one follower with its own client of the store.
+type member struct {
+	replica  *replica.Replica
+	follower *Follower
+	stop     context.CancelFunc
+}
+
+// startMembers runs followers in two zones before one store.
+func startMembers(t *testing.T, n int) (*standin.Standin, *platform.Client, []*member) {
+	t.Helper()
+	s, err := standin.Start("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = s.Close() })
+	address := strings.TrimPrefix(s.URL(), "http://")
+	client := platform.NewClient(address, nil)
+	put(t, client, 1)
+	var listeners []net.Listener
+	var seeds []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		listeners = append(listeners, l)
+		seeds = append(seeds, l.Addr().String())
+	}
+	var members []*member
+	for i, l := range listeners {
+		name := fmt.Sprintf("n%d", i)
+		transport, err := control.New(control.Config{Name: name, Key: []byte("0123456789abcdef")})
+		qt.Assert(t, err, qt.IsNil)
+		go func() { _ = transport.Serve(l) }()
+		m := &member{replica: replica.New(hclog.NewNullLogger())}
+		m.follower = New(Config{
+			Store: platform.NewClient(address, nil), Replica: m.replica, Transport: transport, Log: hclog.NewNullLogger(),
+			Self:  replica.Node{Name: name, AvailabilityZone: string(rune('a' + i%2)), ControlAddress: l.Addr().String()},
+			Seeds: seeds[:min(3, n)], FirstStart: true,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		m.stop = func() {
+			cancel()
+			_ = transport.Close()
+		}
+		t.Cleanup(m.stop)
+		go m.follower.Run(ctx)
+		members = append(members, m)
+	}
+	for _, m := range members {
+		await(t, "all have registered", 5*time.Second, func() bool { return len(m.replica.View().Nodes) == n })
+		await(t, "two relays", 5*time.Second, func() bool { return len(m.follower.Relays()) == 2 })
+	}
+	return s, client, members
+}
+
+func put(t *testing.T, c *platform.Client, version int) {
+	t.Helper()
+	text := fmt.Sprintf(`{"version":"%08x"}`, version)
+	_, err := c.Txn(t.Context(), nil, []platform.Put{{Key: platform.ConfigurationKey, Value: []byte(text)}})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func await(t *testing.T, what string, limit time.Duration, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %s", what, limit)
+}
+
+// awaitVersion waits until all members know a configuration.
+func awaitVersion(t *testing.T, members []*member, version int64, limit time.Duration) {
+	t.Helper()
+	end := time.Now().Add(limit)
+	for i, m := range members {
+		await(t, fmt.Sprintf("version %d at member %d", version, i), time.Until(end), func() bool {
+			cfg := m.replica.View().Config
+			return cfg != nil && int64(cfg.Revision) >= version
+		})
+	}
+}
+
+// bound is the time in which a change has to be in force.
+const bound = 2 * time.Second
+
+// TestFewFollowTheStore counts the calls of a calm fleet: only relays make any.
+func TestFewFollowTheStore(t *testing.T) {
+	s, client, members := startMembers(t, 6)
+	time.Sleep(relayTime + time.Second)
+	before := s.Store.Calls().Total()
+	time.Sleep(2 * time.Second)
+	calls := s.Store.Calls().Total() - before
+	qt.Check(t, calls <= 2*3, qt.IsTrue, qt.Commentf("%d calls in 2 s by 2 relays", calls))
+	put(t, client, 2)
+	awaitVersion(t, members, 2, bound)
+}
+
+func TestChangeArrivesThoughBothRelaysDied(t *testing.T) {
+	_, client, members := startMembers(t, 6)
+	relays := members[0].follower.Relays()
+	var alive []*member
+	for _, m := range members {
+		if m.follower.cfg.Self == relays[0] || m.follower.cfg.Self == relays[1] {
+			m.stop()
+			continue
+		}
+		alive = append(alive, m)
+	}
+	put(t, client, 2)
+	awaitVersion(t, alive, 2, bound)
+}
+
+// TestDeafWatchIsNoticed has watches hear nothing while changes are made.
+func TestDeafWatchIsNoticed(t *testing.T) {
+	s, client, members := startMembers(t, 4)
+	s.Store.SetFaults(memory.Faults{DeafWatches: true})
+	put(t, client, 2)
+	awaitVersion(t, members, 2, bound)
+}
+
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	s, client, members := startMembers(t, 4)
+	s.Store.SetFaults(memory.Faults{DeafWatches: true})
+	put(t, client, 2)
+	s.Store.Compact()
+	s.Store.SetFaults(memory.Faults{})
+	awaitVersion(t, members, 2, bound)
+}
+
+func TestStoreThatComesBackIsFollowed(t *testing.T) {
+	s, client, members := startMembers(t, 4)
+	s.Store.SetFaults(memory.Faults{Away: true})
+	time.Sleep(1500 * time.Millisecond)
+	s.Store.SetFaults(memory.Faults{})
+	put(t, client, 2)
+	awaitVersion(t, members, 2, bound+retryMax)
+}
--- a/gateway/follow/order.go
+++ b/gateway/follow/order.go
@@ -10,22 +10,12 @@
 )
 
 // Order ranks nodes by their fitness as relays: the strongest first, among
-// equals by a hash of the name. Each next one comes, as far as there are any,
-// from an availability zone that the ones before it do not use.
+// equals by a hash of the name.
 func Order(nodes []replica.Node) []replica.Node {
 	ranked := slices.Clone(nodes)
 	slices.SortFunc(ranked, func(a, b replica.Node) int {
 		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	seen := make(map[string]int)
-	turn := make(map[string]int, len(ranked))
-	for _, n := range ranked {
-		turn[n.Name] = seen[n.AvailabilityZone]
-		seen[n.AvailabilityZone]++
-	}
-	slices.SortStableFunc(ranked, func(a, b replica.Node) int {
-		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(turn[a.Name], turn[b.Name]))
-	})
 	return ranked
 }
 
--- /dev/null
+++ b/gateway/replica/replica_test.go
@@ -0,0 +1,112 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"filbertmill.example/config/dynamic"
+	"filbertmill.example/platform"
+)
+
+func newReplica() *Replica { return New(hclog.NewNullLogger()) }
+
+func configuration(version int, rev platform.Revision) platform.Item {
+	text := fmt.Sprintf(`{"version":"%08x","listeners":[{"host":"h","policy":[{"name":"r","match":{"prefix":"/v%d/"},
+		"action":{"service":"s","timeout-s":1}}]}],"clusters":[{"name":"s"}]}`, version, version)
+	return platform.Item{Key: platform.ConfigurationKey, Value: []byte(text), Revision: rev}
+}
+
+func target(id, address, state string, rev platform.Revision) platform.Item {
+	text := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"s","slots":2},"status":{"state":%q}}`, address, rev, state)
+	return platform.Item{Key: platform.TargetPrefix + id, Value: []byte(text), Revision: rev}
+}
+
+func ids(v *View) []string {
+	var list []string
+	for _, t := range v.Targets["s"] {
+		list = append(list, t.ID)
+	}
+	return list
+}
+
+// TestConfigurationNeverGoesBack has an older configuration come later, from a
+// stale source and from the store itself.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := newReplica()
+	r.Apply([]platform.Item{configuration(7, 20)}, 20)
+	r.Apply([]platform.Item{configuration(3, 10)}, 10)
+	qt.Check(t, r.View().Config.Revision, qt.Equals, dynamic.Revision(7))
+	r.Replace([]platform.Item{configuration(5, 30)}, 30, false)
+	qt.Check(t, r.View().Config.Revision, qt.Equals, dynamic.Revision(7))
+	r.Apply([]platform.Item{{Key: platform.ConfigurationKey, Revision: 31, Deleted: true}}, 31)
+	r.Apply([]platform.Item{{Key: platform.ConfigurationKey, Value: []byte("{"), Revision: 32}}, 32)
+	qt.Check(t, r.View().Config.Revision, qt.Equals, dynamic.Revision(7))
+	qt.Check(t, r.View().Table.Match("h", "/v7/x"), qt.IsNotNil)
+	qt.Check(t, r.View().Table.Match("h", "/v7"), qt.IsNil, qt.Commentf("the prefix ends with a slash"))
+}
+
+func TestNewestOfEachKeyCounts(t *testing.T) {
+	r := newReplica()
+	r.Apply([]platform.Item{target("a", "10.0.0.1:1", "draining", 5)}, 5)
+	r.Apply([]platform.Item{target("a", "10.0.0.1:1", "ready", 4), target("b", "10.0.0.2:1", "ready", 3)}, 4)
+	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a", "b"})
+	qt.Check(t, r.View().Targets["s"][0].Leaving, qt.IsTrue)
+	qt.Check(t, r.View().Revision, qt.Equals, platform.Revision(5))
+	r.Apply([]platform.Item{{Key: platform.TargetPrefix + "b", Revision: 6, Deleted: true}}, 6)
+	r.Apply([]platform.Item{target("b", "10.0.0.2:1", "ready", 3)}, 3)
+	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a"})
+}
+
+func TestForeignEntryNamesNoTarget(t *testing.T) {
+	r := newReplica()
+	r.Apply([]platform.Item{target("a", "10.0.0.1:1", "ready", 1), target("b", "10.0.0.2:1", "ready", 2)}, 2)
+	r.Apply([]platform.Item{{Key: platform.TargetPrefix + "a", Value: []byte(`{"address":7}`), Revision: 3}}, 3)
+	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"b"})
+}
+
+// TestAddressComesBackUnderAnotherTarget has a crashed target's entry outlive it
+// while its address belongs to a new one.
+func TestAddressComesBackUnderAnotherTarget(t *testing.T) {
+	r := newReplica()
+	r.Apply([]platform.Item{target("old", "10.0.0.1:1", "ready", 1), target("new", "10.0.0.1:1", "ready", 2)}, 2)
+	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"new"})
+}
+
+func TestTargetsMissingAfterAnOutage(t *testing.T) {
+	r := newReplica()
+	r.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 1), target("b", "10.0.0.2:1", "ready", 2)}, 2, false)
+	r.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 1)}, 9, true)
+	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a", "b"}, qt.Commentf("b may report again"))
+	r.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 1)}, 10, false)
+	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a"})
+}
+
+// TestChangesBringAnotherCopyUpToDate follows one copy by another.
+func TestChangesBringAnotherCopyUpToDate(t *testing.T) {
+	from, to := newReplica(), newReplica()
+	follow := func() {
+		changes, through, whole := from.Changes(to.View().Revision)
+		if whole {
+			to.Replace(changes, through, false)
+		} else {
+			to.Apply(changes, through)
+		}
+		qt.Check(t, to.View().Revision, qt.Equals, from.View().Revision)
+		qt.Check(t, ids(to.View()), qt.DeepEquals, ids(from.View()))
+	}
+	from.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 4), configuration(1, 5)}, 6, false)
+	follow()
+	from.Apply([]platform.Item{target("b", "10.0.0.2:1", "ready", 7)}, 7)
+	follow()
+	from.Apply([]platform.Item{{Key: platform.TargetPrefix + "a", Revision: 8, Deleted: true}}, 8)
+	follow()
+	for i := range platform.Revision(2 * maxLog) {
+		from.Apply([]platform.Item{target("c", "10.0.0.3:1", "ready", 9+i)}, 9+i)
+	}
+	_, _, whole := from.Changes(8)
+	qt.Check(t, whole, qt.IsTrue, qt.Commentf("what lies too far back is told whole"))
+	follow()
+}
