--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -31,15 +31,18 @@
 func (n *Node) carry(ctx context.Context, r *request) result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	size := r.route.Attempts + maxWithdrawn + maxAgain
-	f := &flight{node: n, r: r, ctx: ctx, ends: make(chan end, size), grants: make(chan balance.Grant, size)}
+	return newFlight(ctx, r, n.try).run()
+}
+
+// run carries the request to its end.
+func (f *flight) run() result {
 	f.start(balance.First)
 	var hedge <-chan time.Time
 	for {
 		select {
 		case g := <-f.grants:
 			f.used = append(f.used, g.Target)
-			if hedge == nil && r.idempotent {
+			if hedge == nil && f.r.idempotent {
 				hedge = time.After(f.hedgeDelay(g.Usual))
 			}
 		case e := <-f.ends:
@@ -51,7 +54,7 @@
 			if f.mayStart() {
 				f.start(balance.Hedge)
 			}
-		case <-ctx.Done():
+		case <-f.ctx.Done():
 			return f.expired()
 		}
 	}
@@ -59,9 +62,10 @@
 
 // flight is one request with its attempts.
 type flight struct {
-	node *Node
-	r    *request
-	ctx  context.Context
+	r   *request
+	ctx context.Context
+	// try runs one attempt and calls granted before the exchange begins.
+	try  func(ctx context.Context, r *request, p plan, granted func(balance.Grant)) end
 	ends chan end
 	// grants receives the targets as attempts begin.
 	grants chan balance.Grant
@@ -80,6 +84,12 @@
 	sent bool
 }
 
+// newFlight returns the flight of a request whose attempts are run by try.
+func newFlight(ctx context.Context, r *request, try func(context.Context, *request, plan, func(balance.Grant)) end) *flight {
+	size := r.route.Attempts + maxWithdrawn + maxAgain
+	return &flight{r: r, ctx: ctx, try: try, ends: make(chan end, size), grants: make(chan balance.Grant, size)}
+}
+
 // start begins an attempt on a target that has not had the request.
 func (f *flight) start(repeat balance.Repeat) {
 	f.started++
@@ -102,7 +112,7 @@
 		if pause > 0 {
 			time.Sleep(pause)
 		}
-		f.ends <- f.node.try(f.ctx, f.r, p, func(g balance.Grant) { f.grants <- g })
+		f.ends <- f.try(f.ctx, f.r, p, func(g balance.Grant) { f.grants <- g })
 	}()
 }
 
