--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -30,6 +30,9 @@
 	FloorShare float64
 	// Retries bounds the second attempts that this Loop grants.
 	Retries retry.Config
+	// Restarted says that the Loop may follow another one, whose counts it does
+	// not know.
+	Restarted bool
 	// Seed makes ties repeatable.
 	Seed uint64
 	// Probe asks for a health check of a target, answered by Observe; it is
@@ -54,6 +57,7 @@
 	poison   *poison.Tracker
 	lastID   pool.RequestID
 	swept    time.Time
+	started  time.Time
 }
 
 // New returns a Loop; Run makes it work.
@@ -65,6 +69,7 @@
 		view:     &replica.View{},
 		services: make(map[string]*service),
 		poison:   poison.NewTracker(poison.DefaultConfig()),
+		started:  time.Now(),
 	}
 }
 
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -17,6 +17,10 @@
 	// queueLimit bounds the waiting attempts of one service; deadlines refuse
 	// most long before.
 	queueLimit = 2048
+	// restartTime is the window of the retry budget. RestartShare is the part of
+	// its fixed second attempts that a Loop grants which has just started.
+	restartTime  = 10 * time.Second
+	RestartShare = 0.45
 )
 
 // service is the state of one service; it is the Delegate of its Scheduler.
@@ -44,7 +48,7 @@
 	s := &service{
 		loop:    l,
 		name:    name,
-		retries: retry.NewBudget(l.cfg.Retries),
+		retries: retry.NewBudget(l.retryConfig(now)),
 		ids:     make(map[ID]pool.RequestID),
 		open:    make(map[pool.RequestID]*open),
 	}
@@ -83,6 +87,15 @@
 	s.sched.SetTargets(now, targets)
 }
 
+// retryConfig returns the bounds of the retry budgets.
+func (l *Loop) retryConfig(now time.Time) retry.Config {
+	cfg := l.cfg.Retries
+	if l.cfg.Restarted && now.Sub(l.started) < restartTime {
+		cfg.Floor = int(float64(cfg.Floor) * RestartShare)
+	}
+	return cfg
+}
+
 func (s *service) submit(now time.Time, a Attempt, reply func(Grant)) {
 	if e, refuse := s.loop.poison.Check(now, a.Fingerprint); refuse {
 		s.loop.cfg.Log.Info("request refused: requests like it crash targets",
@@ -90,6 +103,7 @@
 		reply(Grant{Reason: outcome.ReasonPoison})
 		return
 	}
+	s.retries.SetConfig(s.loop.retryConfig(now))
 	if a.Repeat == First {
 		s.retries.Request(now)
 		s.counted.Requests++
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -117,7 +117,7 @@
 		Seeds: s.Seeds, FirstStart: s.FirstStart,
 	})
 	n.shared = balance.New(n.balanceConfig(retry.Config{
-		Share: s.Bounds.RetryRatio * homeRetryShare, Floor: int(s.Bounds.RetryExtra * homeRetryShare),
+		Share: s.Bounds.RetryRatio * homeRetryShare, Floor: int(s.Bounds.RetryExtra * homeFloorShare),
 	}))
 	n.alone = balance.New(n.balanceConfig(retry.Config{Share: s.Bounds.RetryRatio * (1 - homeRetryShare)}))
 	n.homes = homes.NewClient(homes.Config{
@@ -132,6 +132,7 @@
 	return balance.Config{
 		FloorShare: n.settings.Bounds.FloorShare,
 		Retries:    retries,
+		Restarted:  !n.settings.FirstStart,
 		Seed:       xxhash.Sum64String(n.settings.Name),
 		Probe:      n.probe,
 		IsHome:     func(service string) bool { return n.homes.IsHome(service) },
@@ -139,9 +140,15 @@
 	}
 }
 
-// homeRetryShare is the part of the fleet's retry budget that homes grant; the
-// rest is left to nodes that no home answers.
-const homeRetryShare = 0.9
+const (
+	// homeRetryShare is the part of the fleet's retry ratio that homes grant; the
+	// rest is left to nodes that no home answers.
+	homeRetryShare = 0.9
+	// homeFloorShare is the part of the fixed second attempts that homes grant,
+	// and balance.RestartShare of it what homes grant that have just started:
+	// if all were killed, nobody knows what was granted before.
+	homeFloorShare = 0.65
+)
 
 // fleetKey is the key by which nodes of one deployment know each other. The
 // platform hands out no secret, so that it keeps out strays, not attackers.
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -31,13 +31,19 @@
 	lossRisk   = 0.25
 	repeatRisk = 0.6
 	// patience is the share of the time until its due time for which an attempt
-	// waits for a better target.
-	patience = 0.5
+	// waits for a better target than one that may well be sound, and likelyRisk
+	// the risk above which it is likelier that it is not.
+	patience   = 0.5
+	likelyRisk = 0.5
 	// riskFloor is the risk up to which targets count as equally sound.
 	riskFloor = 0.005
-	// spreadLoss is the share of lost work above which all targets that may be
-	// sound are used in turn; the floor counts from a tenth.
-	spreadLoss = 0.07
+	// spreadLoss is the share of lost requests above which at least spreadShare
+	// of the targets are used within spreadTime, up to spreadRisk: the floor holds
+	// 0.7 of the sound ones in use over 2 s once a tenth is lost.
+	spreadLoss  = 0.07
+	spreadShare = 0.85
+	spreadTime  = 1600 * time.Millisecond
+	spreadRisk  = 0.95
 	// idleTime is how long a target may go unused before a repeatable attempt is
 	// sent there to learn about it, and exploreShare the share of such attempts.
 	idleTime     = time.Second
@@ -127,6 +133,9 @@
 
 // choose returns the free target where a costs least, or nil if a waits.
 func (s *steered) choose(now time.Time, a *steeredAttempt, risks map[*steeredTarget]float64) *steeredTarget {
+	if t := s.spread(now, a, risks); t != nil {
+		return t
+	}
 	var best, idle *steeredTarget
 	var bestCost time.Duration
 	better := false
@@ -149,7 +158,7 @@
 		if risk <= limit && now.Sub(t.used) > idleTime {
 			idle = t
 		}
-		if c := s.cost(now, a, t, risk, limit); best == nil || c < bestCost {
+		if c := s.cost(a, t, risk); best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
 	}
@@ -163,7 +172,7 @@
 	if slices.Contains(a.Avoid, best.Name) {
 		risk = max(risk, avoidRisk)
 	}
-	if better && risk > limit && s.mayWait(now, a) {
+	if better && risk > limit && now.Before(s.waitsUntil(a, risk)) {
 		return nil
 	}
 	return best
@@ -172,10 +181,17 @@
 // mayFail says whether another attempt can make up for the failure of a.
 func (a *steeredAttempt) mayFail() bool { return a.Idempotent && !a.Last }
 
-// mayWait says whether a can wait for a better target and still end when due.
-func (s *steered) mayWait(now time.Time, a *steeredAttempt) bool {
-	spare := a.Due.Sub(a.submitted) - s.latency(a.Route)
-	return now.Sub(a.submitted) < time.Duration(patience*float64(spare))
+// waitsUntil returns how long a waits for a better target than one of the given
+// risk. A likely failure is worth waiting for as long as a can still end in time.
+func (s *steered) waitsUntil(a *steeredAttempt, risk float64) time.Time {
+	usual := s.latency(a.Route)
+	switch {
+	case risk <= likelyRisk:
+		return a.submitted.Add(time.Duration(patience * float64(a.Due.Sub(a.submitted)-usual)))
+	case a.mayFail():
+		return a.Due.Add(-usual)
+	}
+	return a.Deadline.Add(-2 * usual)
 }
 
 // fits says whether a may run on t at all.
@@ -186,13 +202,39 @@
 	return !slices.Contains(a.Exclude, t.Name)
 }
 
-// cost returns the expected cost of running a on t, as time. While much work is
-// lost, all targets that may be sound are used in turn: then too few of them are
-// known, or more is asked than the best known ones can do.
-func (s *steered) cost(now time.Time, a *steeredAttempt, t *steeredTarget, risk, limit float64) time.Duration {
-	if s.lost > spreadLoss && risk <= limit {
-		return -min(now.Sub(t.used), time.Minute)
+// spread returns an idle target for a while much work is lost and few targets
+// are in use: a doubtful one may be sound by now. It returns nil otherwise.
+func (s *steered) spread(now time.Time, a *steeredAttempt, risks map[*steeredTarget]float64) *steeredTarget {
+	if s.lost <= spreadLoss {
+		return nil
+	}
+	var best *steeredTarget
+	limit := likelyRisk
+	if a.mayFail() {
+		limit = spreadRisk
 	}
+	usable, used := 0, 0
+	for _, t := range s.order {
+		if !t.usable() {
+			continue
+		}
+		usable++
+		if now.Sub(t.used) < spreadTime {
+			used++
+			continue
+		}
+		if t.free(now) > 0 && a.fits(t) && risks[t] <= limit && (best == nil || risks[t] < risks[best]) {
+			best = t
+		}
+	}
+	if float64(used) >= spreadShare*float64(usable) {
+		return nil
+	}
+	return best
+}
+
+// cost returns the expected cost of running a on t, as time.
+func (s *steered) cost(a *steeredAttempt, t *steeredTarget, risk float64) time.Duration {
 	usual := float64(s.latency(a.Route))
 	risk = max(0, risk-riskFloor)
 	if t.joined {
--- a/pool/steered_test.go
+++ b/pool/steered_test.go
@@ -64,7 +64,7 @@
 func TestUnsafeWorkWaitsForATrustedTarget(t *testing.T) {
 	s, r := steeredService(2)
 	now := epoch
-	s.targets["b"].belief = belief{0.8, now}
+	s.targets["b"].belief = belief{0.5, now}
 	for id := RequestID(1); id <= 2; id++ {
 		s.Submit(now, unsafeRequest(id, now))
 		qt.Assert(t, r.started[id], qt.Equals, "a")
@@ -76,6 +76,28 @@
 	qt.Check(t, r.started[3], qt.Equals, "b", qt.Commentf("its time to wait is over"))
 }
 
+// TestUnsafeWorkWaitsOutALikelyFailure plays a crest at which most targets have
+// just failed: work that may run once waits for the few others, late or not,
+// rather than be lost where everything fails.
+func TestUnsafeWorkWaitsOutALikelyFailure(t *testing.T) {
+	s, r := steeredService(2)
+	now := epoch
+	s.usual["r"] = 140 * time.Millisecond
+	faulty := "b"
+	s.targets[faulty].belief = belief{0.95, now}
+	s.Submit(now, unsafeRequest(1, now))
+	s.Submit(now, unsafeRequest(2, now))
+	s.Submit(now, unsafeRequest(3, now))
+	for ms := 100; ms < 400; ms += 100 {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		s.targets[faulty].belief = belief{0.95, at}
+		s.Tick(at)
+		qt.Assert(t, r.started[3], qt.Equals, "", qt.Commentf("after %d ms", ms))
+	}
+	s.Finish(now.Add(400*time.Millisecond), 1, Result{Verdict: VerdictAnswered, Latency: 400 * time.Millisecond})
+	qt.Check(t, r.started[3], qt.Equals, r.started[1])
+}
+
 func TestTargetComesBackByTimeAndByAnswers(t *testing.T) {
 	b := belief{beliefMax, epoch}
 	qt.Check(t, b.now(epoch.Add(time.Second)) > suspicionBelief, qt.IsTrue)
