--- a/pool/steer.go
+++ b/pool/steer.go
@@ -16,7 +16,7 @@
 	// lossCost is what the failure of an attempt that may not be repeated costs,
 	// as time; repeatCost is what it costs one that may.
 	lossCost   = 20 * time.Second
-	repeatCost = 500 * time.Millisecond
+	repeatCost = 3 * time.Second
 	// connectCost is what a new connection costs, and farCost one to another
 	// availability zone.
 	connectCost = 120 * time.Millisecond
@@ -45,9 +45,11 @@
 	spreadTime  = 1600 * time.Millisecond
 	spreadRisk  = 0.95
 	// idleTime is how long a target may go unused before a repeatable attempt is
-	// sent there to learn about it, and exploreShare the share of such attempts.
+	// sent there to learn about it, if its risk is at most idleRisk, and
+	// exploreShare the share of such attempts.
 	idleTime     = time.Second
-	exploreShare = 0.15
+	exploreShare = 0.1
+	idleRisk     = 0.35
 )
 
 // usable says whether t may get work.
@@ -155,7 +157,7 @@
 			better = better || risk <= limit
 			continue
 		}
-		if risk <= limit && now.Sub(t.used) > idleTime {
+		if risk <= idleRisk && now.Sub(t.used) > idleTime {
 			idle = t
 		}
 		if c := s.cost(a, t, risk); best == nil || c < bestCost {
