--- a/soak/main.go
+++ b/soak/main.go
@@ -72,6 +72,9 @@
 	return nil
 }
 
+// maxReported bounds the broken promises that are printed.
+const maxReported = 20
+
 // playSeed plays one run and reports it.
 func playSeed(ctx context.Context, a arguments, seed uint64) error {
 	dir := filepath.Join(a.Dir, fmt.Sprintf("seed-%d", seed))
@@ -94,9 +97,12 @@
 	for _, s := range schedule {
 		fmt.Println("  ", s)
 	}
-	for _, b := range broken {
+	for _, b := range broken[:min(len(broken), maxReported)] {
 		fmt.Println("broken:", b)
 	}
+	if more := len(broken) - maxReported; more > 0 {
+		fmt.Println("broken:", more, "more")
+	}
 	return fmt.Errorf("seed %d broke a promise; logs are in %s; again: go run ./soak --seed %d --for %s --nodes %d --rate %g",
 		seed, dir, seed, a.For, a.Nodes, a.Rate)
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"filbertmill.example/platform"
 	"filbertmill.example/testbed/backend"
 	"filbertmill.example/testbed/faultproxy"
@@ -24,6 +26,8 @@
 	backendWork  = 20 * time.Millisecond
 	// settleTime is how long a run goes on after its last fault has ended.
 	settleTime = 16 * time.Second
+	// readBackInterval is the time between two looks whether a write was done.
+	readBackInterval = 50 * time.Millisecond
 	// restartDelay is how long a node that ended stays away.
 	restartDelay = 300 * time.Millisecond
 )
@@ -169,7 +173,8 @@
 		"idle-timeout-s":15},"listeners":[{"host":"g.example","policy":[%s]}],
 		"clusters":[{"name":"look","health-path":"/health","max-conns":60},{"name":"book","health-path":"/health","max-conns":60}]}`,
 		next, strings.Join(routes, ","))
-	if _, err := w.store.Txn(ctx, nil, []platform.Put{{Key: platform.ConfigurationKey, Value: []byte(text)}}); err != nil {
+	_, err := w.store.Txn(ctx, nil, []platform.Put{{Key: platform.ConfigurationKey, Value: []byte(text)}})
+	if err != nil && !w.wasWritten(ctx, text) {
 		return err
 	}
 	w.version = next
@@ -177,6 +182,19 @@
 	return nil
 }
 
+// wasWritten reports whether a configuration was written although its reply was
+// lost; it waits for a store that is away.
+func (w *world) wasWritten(ctx context.Context, text string) bool {
+	for ctx.Err() == nil {
+		e, err := w.store.Get(ctx, platform.ConfigurationKey)
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			return string(e.Value) == text
+		}
+		sleep(ctx, readBackInterval)
+	}
+	return false
+}
+
 func versionRoute(version int) string { return fmt.Sprintf("v%d", version) }
 
 // play runs callers and faults until all has settled.
