--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -27,7 +27,7 @@
 type service struct {
 	loop    *Loop
 	name    string
-	sched   pool.Scheduler
+	sched   pool.Steered
 	retries *retry.Budget
 	// counted is what was granted and not yet told to other homes.
 	counted RetryCount
@@ -107,7 +107,7 @@
 	if a.Repeat == First {
 		s.retries.Request(now)
 		s.counted.Requests++
-	} else if a.Repeat != Redirected && !s.retries.Take(now, a.Repeat == Hedge && s.sched.Snapshot(now).Queued > 0) {
+	} else if a.Repeat != Redirected && !s.retries.Take(now, a.Repeat == Hedge && s.sched.Queued() > 0) {
 		s.loop.cfg.Log.Info("second attempt refused: the retry budget is spent",
 			"request", a.Request, "service", s.name, "left", s.retries.Left(now))
 		reply(Grant{Reason: outcome.ReasonNoTarget})
@@ -226,17 +226,7 @@
 	o := s.open[id]
 	o.target = target
 	o.started = time.Now()
-	o.reply(Grant{Target: target, Usual: s.usual(o.Route)})
-}
-
-// usual returns the time that answers on a route usually take, 0 if unknown.
-func (s *service) usual(route string) time.Duration {
-	if u, ok := s.sched.(interface {
-		Usual(route string) time.Duration
-	}); ok {
-		return u.Usual(route)
-	}
-	return 0
+	o.reply(Grant{Target: target, Usual: s.sched.Usual(o.Route)})
 }
 
 // Refuse implements pool.Delegate.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -10,7 +10,7 @@
 	// taken: later ones might not end before the node has to.
 	refuseTime = 2900 * time.Millisecond
 	// exitMargin is how long before SIGKILL the node ends by itself.
-	exitMargin = 400 * time.Millisecond
+	exitMargin = 700 * time.Millisecond
 	// quietTime is the time without a new connection or request after which the
 	// node ends early: callers that were sent here before the balancer noticed
 	// may still be about to send.
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -85,44 +85,97 @@
 	return failureShare * b.now(now)
 }
 
-// dispatch starts what can start and refuses what no longer can.
+// round is one pass over the queue. Its work grows with the targets and with the
+// attempts that start, not with their product.
+type round struct {
+	now  time.Time
+	free []*steeredTarget
+	// risks caches the risk of targets.
+	risks map[*steeredTarget]float64
+	// busyBetter caches, by limit, whether a busy target is within it.
+	busyBetter map[float64]bool
+	// stuck holds the kinds of attempt of which one waits for a better target.
+	stuck map[bool]bool
+}
+
+// dispatch starts what can start.
 func (s *steered) dispatch(now time.Time) {
-	s.expire(now)
 	if len(s.waiting) == 0 {
 		return
 	}
-	risks := make(map[*steeredTarget]float64, len(s.order))
+	r := &round{
+		now: now, risks: make(map[*steeredTarget]float64), busyBetter: make(map[float64]bool), stuck: make(map[bool]bool),
+	}
 	for _, t := range s.order {
-		risks[t] = s.risk(now, t)
+		if t.free(now) > 0 {
+			r.free = append(r.free, t)
+		}
 	}
-	s.sortWaiting(now)
 	kept := s.waiting[:0]
-	for _, a := range s.waiting {
-		t := s.choose(now, a, risks)
+	for i, a := range s.waiting {
+		if len(r.free) == 0 {
+			kept = append(kept, s.waiting[i:]...)
+			break
+		}
+		t := s.chooseOnce(r, a)
 		if t == nil {
 			kept = append(kept, a)
 			continue
 		}
-		a.started, a.target = now, t
-		t.used, t.joined = now, false
-		t.running[a.ID] = a
-		s.running[a.ID] = a
-		s.delegate.Start(a.ID, t.Name)
+		s.start(now, a, t)
+		if t.free(now) == 0 {
+			r.free = slices.DeleteFunc(r.free, func(o *steeredTarget) bool { return o == t })
+		}
 	}
 	clear(s.waiting[len(kept):])
 	s.waiting = kept
 }
 
-// sortWaiting orders the queue: by priority, then those that can still end when
-// they are due before those that cannot, then by the time they are due.
-func (s *steered) sortWaiting(now time.Time) {
-	slices.SortStableFunc(s.waiting, func(a, b *steeredAttempt) int {
-		return cmp.Or(
-			cmp.Compare(a.Priority, b.Priority),
-			cmp.Compare(s.lateness(now, a), s.lateness(now, b)),
-			a.Due.Compare(b.Due),
-		)
+// chooseOnce chooses a target for a, unless one like it that goes first waits
+// for a better target.
+func (s *steered) chooseOnce(r *round, a *steeredAttempt) *steeredTarget {
+	plain := len(a.Exclude)+len(a.Avoid)+len(a.Only) == 0
+	if plain && r.stuck[a.mayFail()] {
+		return nil
+	}
+	t := s.choose(r, a)
+	if t == nil && plain {
+		r.stuck[a.mayFail()] = true
+	}
+	return t
+}
+
+// start gives a to t.
+func (s *steered) start(now time.Time, a *steeredAttempt, t *steeredTarget) {
+	a.started, a.target = now, t
+	t.used, t.joined = now, false
+	t.running[a.ID] = a
+	s.running[a.ID] = a
+	s.delegate.Start(a.ID, t.Name)
+}
+
+// compare orders the queue: by priority, then those that can still end when they
+// are due before those that cannot, then by the time they are due.
+func (a *steeredAttempt) compare(b *steeredAttempt) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.late, b.late), a.Due.Compare(b.Due))
+}
+
+// enqueue puts a in its place in the queue.
+func (s *steered) enqueue(now time.Time, a *steeredAttempt) {
+	a.late = s.lateness(now, a)
+	i, _ := slices.BinarySearchFunc(s.waiting, a, func(o, a *steeredAttempt) int {
+		// Behind its equals: they came first.
+		return cmp.Or(o.compare(a), -1)
 	})
+	s.waiting = slices.Insert(s.waiting, i, a)
+}
+
+// sortWaiting renews the order of the queue, as some have become late.
+func (s *steered) sortWaiting(now time.Time) {
+	for _, a := range s.waiting {
+		a.late = s.lateness(now, a)
+	}
+	slices.SortStableFunc(s.waiting, func(a, b *steeredAttempt) int { return a.compare(b) })
 }
 
 // lateness is 0 for an attempt that can still end when it is due, else 1.
@@ -133,31 +186,50 @@
 	return 0
 }
 
+// riskOf returns the risk of t in this round.
+func (s *steered) riskOf(r *round, t *steeredTarget) float64 {
+	risk, known := r.risks[t]
+	if !known {
+		risk = s.risk(r.now, t)
+		r.risks[t] = risk
+	}
+	return risk
+}
+
+// riskFor returns the risk of t for whoever runs a.
+func (s *steered) riskFor(r *round, a *steeredAttempt, t *steeredTarget) float64 {
+	risk := s.riskOf(r, t)
+	if slices.Contains(a.Avoid, t.Name) {
+		return max(risk, avoidRisk)
+	}
+	return risk
+}
+
+// betterIsBusy says whether a target within the limit has no free slot.
+func (s *steered) betterIsBusy(r *round, limit float64) bool {
+	better, known := r.busyBetter[limit]
+	if !known {
+		better = slices.ContainsFunc(s.order, func(t *steeredTarget) bool {
+			return t.usable() && t.free(r.now) == 0 && s.riskOf(r, t) <= limit
+		})
+		r.busyBetter[limit] = better
+	}
+	return better
+}
+
 // choose returns the free target where a costs least, or nil if a waits.
-func (s *steered) choose(now time.Time, a *steeredAttempt, risks map[*steeredTarget]float64) *steeredTarget {
-	if t := s.spread(now, a, risks); t != nil {
+func (s *steered) choose(r *round, a *steeredAttempt) *steeredTarget {
+	if t := s.spread(r, a); t != nil {
 		return t
 	}
 	var best, idle *steeredTarget
 	var bestCost time.Duration
-	better := false
-	limit := lossRisk
-	if a.mayFail() {
-		limit = repeatRisk
-	}
-	for _, t := range s.order {
-		if !t.usable() || !a.fits(t) {
+	for _, t := range r.free {
+		if !a.fits(t) {
 			continue
 		}
-		risk := risks[t]
-		if slices.Contains(a.Avoid, t.Name) {
-			risk = max(risk, avoidRisk)
-		}
-		if t.free(now) == 0 {
-			better = better || risk <= limit
-			continue
-		}
-		if risk <= idleRisk && now.Sub(t.used) > idleTime {
+		risk := s.riskFor(r, a, t)
+		if risk <= idleRisk && r.now.Sub(t.used) > idleTime {
 			idle = t
 		}
 		if c := s.cost(a, t, risk); best == nil || c < bestCost {
@@ -170,11 +242,12 @@
 	if best == nil {
 		return nil
 	}
-	risk := risks[best]
-	if slices.Contains(a.Avoid, best.Name) {
-		risk = max(risk, avoidRisk)
+	limit := lossRisk
+	if a.mayFail() {
+		limit = repeatRisk
 	}
-	if better && risk > limit && now.Before(s.waitsUntil(a, risk)) {
+	risk := s.riskFor(r, a, best)
+	if risk > limit && r.now.Before(s.waitsUntil(a, risk)) && s.betterIsBusy(r, limit) {
 		return nil
 	}
 	return best
@@ -206,15 +279,28 @@
 
 // spread returns an idle target for a while much work is lost and few targets
 // are in use: a doubtful one may be sound by now. It returns nil otherwise.
-func (s *steered) spread(now time.Time, a *steeredAttempt, risks map[*steeredTarget]float64) *steeredTarget {
-	if s.lost <= spreadLoss {
+func (s *steered) spread(r *round, a *steeredAttempt) *steeredTarget {
+	if s.lost <= spreadLoss || s.shareUsed(r.now) >= spreadShare {
 		return nil
 	}
-	var best *steeredTarget
 	limit := likelyRisk
 	if a.mayFail() {
 		limit = spreadRisk
 	}
+	var best *steeredTarget
+	for _, t := range r.free {
+		if r.now.Sub(t.used) < spreadTime || !a.fits(t) || s.riskOf(r, t) > limit {
+			continue
+		}
+		if best == nil || s.riskOf(r, t) < s.riskOf(r, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+// shareUsed returns the share of the usable targets that were used lately.
+func (s *steered) shareUsed(now time.Time) float64 {
 	usable, used := 0, 0
 	for _, t := range s.order {
 		if !t.usable() {
@@ -223,16 +309,9 @@
 		usable++
 		if now.Sub(t.used) < spreadTime {
 			used++
-			continue
-		}
-		if t.free(now) > 0 && a.fits(t) && risks[t] <= limit && (best == nil || risks[t] < risks[best]) {
-			best = t
 		}
 	}
-	if float64(used) >= spreadShare*float64(usable) {
-		return nil
-	}
-	return best
+	return float64(used) / float64(max(usable, 1))
 }
 
 // cost returns the expected cost of running a on t, as time.
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -48,6 +48,15 @@
 	steeredTick = 25 * time.Millisecond
 )
 
+// Steered is a Scheduler that tells what it has learned.
+type Steered interface {
+	Scheduler
+	// Usual returns the usual latency of a route.
+	Usual(route string) time.Duration
+	// Queued returns the number of waiting attempts.
+	Queued() int
+}
+
 // steered is the Scheduler of NewSteered.
 type steered struct {
 	cfg      Config
@@ -87,6 +96,8 @@
 	submitted time.Time
 	started   time.Time
 	target    *steeredTarget
+	// late is 1 once it cannot end any more when it is due.
+	late int
 }
 
 // NewSteered returns a Scheduler for targets that often fail gray for some
@@ -94,7 +105,7 @@
 // that every answer changes, and gives an attempt the free target where its
 // expected cost is least. Attempts that may not be repeated weigh a failure
 // more, and wait for a trusted target rather than take a doubtful one.
-func NewSteered(cfg Config, d Delegate, seed uint64) Scheduler {
+func NewSteered(cfg Config, d Delegate, seed uint64) Steered {
 	return &steered{
 		cfg:      cfg.withDefaults(),
 		delegate: d,
@@ -165,21 +176,22 @@
 		s.refuse(now, a, refusal)
 		return
 	}
-	s.waiting = append(s.waiting, a)
+	s.enqueue(now, a)
 	s.dispatch(now)
 }
 
 // admit says whether a is worth a place in the queue.
 func (s *steered) admit(now time.Time, a *steeredAttempt) (Refusal, bool) {
+	drain := s.drainTime(a)
 	switch {
 	case !a.Deadline.After(now):
 		return Refusal{Reason: outcome.ReasonTooLate}, false
 	case s.slots(a) == 0:
 		return Refusal{Reason: outcome.ReasonNoTarget, RetryAfter: time.Second}, false
 	case len(s.waiting) >= s.cfg.QueueLimit:
-		return Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: s.drainTime(a)}, false
-	case now.Add(s.drainTime(a) + s.latency(a.Route)).After(a.Deadline):
-		return Refusal{Reason: outcome.ReasonTooLate, RetryAfter: s.drainTime(a)}, false
+		return Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: drain}, false
+	case now.Add(drain + s.latency(a.Route)).After(a.Deadline):
+		return Refusal{Reason: outcome.ReasonTooLate, RetryAfter: drain}, false
 	}
 	return Refusal{}, true
 }
@@ -345,9 +357,14 @@
 		t.limit.tick(now, t.Slots, limitRecovery)
 		s.review(now, t)
 	}
+	s.expire(now)
+	s.sortWaiting(now)
 	s.dispatch(now)
 }
 
+// Queued returns the number of waiting attempts.
+func (s *steered) Queued() int { return len(s.waiting) }
+
 // Next implements Scheduler.
 func (s *steered) Next() time.Time {
 	if len(s.waiting) == 0 && len(s.running) == 0 {
--- a/pool/steered_test.go
+++ b/pool/steered_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -181,3 +182,37 @@
 	s.Submit(epoch, none)
 	qt.Check(t, r.refused[2].Reason, qt.Equals, outcome.ReasonNoTarget)
 }
+
+// BenchmarkSteeredCrest submits and finishes attempts behind a long queue: the
+// work for one must not grow with the queue times the targets.
+func BenchmarkSteeredCrest(b *testing.B) {
+	for _, targets := range []int{8, 132} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			r := newRecorder()
+			s := NewSteered(Config{Service: "s"}, r, 1).(*steered)
+			var list []Target
+			for i := range targets {
+				list = append(list, Target{Name: fmt.Sprintf("t%03d", i), Slots: 2})
+			}
+			s.SetTargets(epoch, list)
+			now, id := epoch, RequestID(0)
+			submit := func() {
+				id++
+				q := safeRequest(id, now)
+				q.Deadline = now.Add(time.Hour)
+				s.Submit(now, q)
+			}
+			for range 2*targets + 1000 {
+				submit()
+			}
+			first := RequestID(0)
+			b.ResetTimer()
+			for b.Loop() {
+				submit()
+				for first++; s.running[first] == nil; first++ {
+				}
+				s.Finish(now, first, Result{Verdict: VerdictAnswered, Latency: time.Millisecond})
+			}
+		})
+	}
+}
