--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -69,7 +70,8 @@
 	}
 	granted(lease.Grant)
 	start := time.Now()
-	e, crashed := n.send(ctx, r, t)
+	e := n.send(ctx, r, t)
+	crashed := e.verdict == pool.VerdictReset && lease.Doubtful && isDown(t.Address)
 	e.granted, e.target, e.name, e.home = true, t.ID, lease.Target, lease.Home
 	n.paths.note(time.Now(), lease.Target, e.verdict)
 	finish(balance.Report{Verdict: e.verdict, Latency: time.Since(start), Crashed: crashed})
@@ -102,9 +104,18 @@
 	return outcome.ReasonCallerLeft
 }
 
-// send runs the request on a target. Crashed says that the target broke off
-// and nothing listens there any more.
-func (n *Node) send(ctx context.Context, r *request, t platform.Target) (e end, crashed bool) {
+// isDown reports whether nothing listens at a target any more.
+func isDown(address string) bool {
+	c, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return true
+	}
+	_ = c.Close()
+	return false
+}
+
+// send runs the request on a target.
+func (n *Node) send(ctx context.Context, r *request, t platform.Target) end {
 	out := r.copyOnward()
 	out.Header.Set(platform.HeaderTimeLeft, platform.FormatTimeLeft(time.Until(r.deadline)))
 	out.Header.Set(platform.HeaderExpectTarget, t.ID)
@@ -121,9 +132,9 @@
 		}
 	}
 	if f != nil {
-		return failedEnd(f), false
+		return failedEnd(f)
 	}
-	return answeredEnd(ans.Response, body), false
+	return answeredEnd(ans.Response, body)
 }
 
 // failedEnd is the end of an exchange without a whole answer.
--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -86,6 +86,9 @@
 	RetryAfter time.Duration  `cbor:"3,keyasint,omitempty"`
 	// Usual is the time that answers on the route usually take.
 	Usual time.Duration `cbor:"5,keyasint,omitempty"`
+	// Doubtful says that a request like this one has broken a connection off
+	// before: if it does again, its node looks whether the target is down.
+	Doubtful bool `cbor:"6,keyasint,omitempty"`
 	// Queued says that the attempt still waits.
 	Queued bool `cbor:"4,keyasint,omitempty"`
 }
--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -35,11 +35,6 @@
 	Restarted bool
 	// Seed makes ties repeatable.
 	Seed uint64
-	// Probe asks for a health check of a target, answered by Observe; it is
-	// not called for services that this node is not the home of.
-	Probe func(service string, target string)
-	// IsHome reports whether this node is the home of a service.
-	IsHome func(service string) bool
 	// Log receives the decisions.
 	Log hclog.Logger
 }
@@ -55,6 +50,7 @@
 	view     *replica.View
 	services map[string]*service
 	poison   *poison.Tracker
+	broken   *broken
 	lastID   pool.RequestID
 	swept    time.Time
 	started  time.Time
@@ -69,6 +65,7 @@
 		view:     &replica.View{},
 		services: make(map[string]*service),
 		poison:   poison.NewTracker(poison.DefaultConfig()),
+		broken:   newBroken(),
 		started:  time.Now(),
 	}
 }
@@ -153,11 +150,6 @@
 	l.send(func(now time.Time) { l.service(r.Service, now).finish(now, r) })
 }
 
-// Observe reports the answer to a health check.
-func (l *Loop) Observe(service string, o pool.Observation) {
-	l.send(func(now time.Time) { l.service(service, now).sched.Observe(now, o) })
-}
-
 // RetryCount is what a home has counted of a service since it last told.
 type RetryCount struct {
 	Service  string `cbor:"1,keyasint"`
@@ -167,8 +159,7 @@
 
 // TakeRetryCounts returns what was counted since the last call.
 func (l *Loop) TakeRetryCounts() []RetryCount {
-	reply := make(chan []RetryCount, 1)
-	sent := l.send(func(time.Time) {
+	return ask(l, func(time.Time) []RetryCount {
 		var list []RetryCount
 		for name, s := range l.services {
 			if c := s.counted; c.Requests > 0 || c.Retries > 0 {
@@ -177,17 +168,23 @@
 				s.counted = RetryCount{}
 			}
 		}
-		reply <- list
-	})
-	if !sent {
-		return nil
-	}
-	select {
-	case list := <-reply:
 		return list
-	case <-l.done:
-		return nil
+	})
+}
+
+// ask runs a question in the Loop's goroutine and returns the answer, or the
+// zero value once the Loop has ended.
+func ask[T any](l *Loop, question func(now time.Time) T) T {
+	reply := make(chan T, 1)
+	if l.send(func(now time.Time) { reply <- question(now) }) {
+		select {
+		case answer := <-reply:
+			return answer
+		case <-l.done:
+		}
 	}
+	var none T
+	return none
 }
 
 // AddRetryCounts takes what another home has counted: the budget is one for the
@@ -202,23 +199,13 @@
 
 // Snapshots returns the state of all Schedulers.
 func (l *Loop) Snapshots() []pool.Snapshot {
-	reply := make(chan []pool.Snapshot, 1)
-	sent := l.send(func(now time.Time) {
+	return ask(l, func(now time.Time) []pool.Snapshot {
 		list := make([]pool.Snapshot, 0, len(l.services))
 		for _, s := range l.services {
 			list = append(list, s.sched.Snapshot(now))
 		}
-		reply <- list
-	})
-	if !sent {
-		return nil
-	}
-	select {
-	case list := <-reply:
 		return list
-	case <-l.done:
-		return nil
-	}
+	})
 }
 
 // service returns the state of a service, made on first use.
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -100,7 +100,7 @@
 	if e, refuse := s.loop.poison.Check(now, a.Fingerprint); refuse {
 		s.loop.cfg.Log.Info("request refused: requests like it crash targets",
 			"request", a.Request, "fingerprint", a.Fingerprint, "until", e.Until)
-		reply(Grant{Reason: outcome.ReasonPoison})
+		reply(Grant{Reason: outcome.ReasonPoison, RetryAfter: e.Until.Sub(now)})
 		return
 	}
 	s.retries.SetConfig(s.loop.retryConfig(now))
@@ -143,40 +143,43 @@
 }
 
 func (s *service) cancel(now time.Time, id ID) {
-	number, ok := s.ids[id]
-	if !ok {
-		return
-	}
-	o := s.open[number]
-	s.forget(number)
-	if o.target == "" {
-		s.sched.Cancel(now, number)
-		return
-	}
-	s.sched.Finish(now, number, pool.Result{Verdict: pool.VerdictCancelled})
+	s.end(now, id, pool.Result{Verdict: pool.VerdictCancelled})
 }
 
 func (s *service) finish(now time.Time, r Report) {
-	number, ok := s.ids[r.ID]
+	o := s.end(now, r.ID, pool.Result{Verdict: r.Verdict, Latency: r.Latency, Leaving: r.Leaving})
+	if o != nil && o.target != "" {
+		s.judgePoison(now, o, r)
+	}
+}
+
+// end ends an attempt, whether it waits or runs. It returns nil if the attempt
+// is not known.
+func (s *service) end(now time.Time, id ID, res pool.Result) *open {
+	number, ok := s.ids[id]
 	if !ok {
-		return
+		return nil
 	}
 	o := s.open[number]
 	s.forget(number)
 	if o.target == "" {
 		s.sched.Cancel(now, number)
-		return
+	} else {
+		s.sched.Finish(now, number, res)
 	}
-	s.sched.Finish(now, number, pool.Result{Verdict: r.Verdict, Latency: r.Latency, Leaving: r.Leaving})
-	s.judgePoison(now, o, r)
+	return o
 }
 
 // judgePoison tells the poison tracker of a crash or of an answer.
 func (s *service) judgePoison(now time.Time, o *open, r Report) {
 	if r.Verdict == pool.VerdictAnswered {
 		s.loop.poison.Passed(o.Fingerprint)
+		s.loop.broken.drop(o.Fingerprint)
 		return
 	}
+	if r.Verdict == pool.VerdictReset {
+		s.loop.broken.add(now, o.Fingerprint)
+	}
 	if !r.Crashed {
 		return
 	}
@@ -226,7 +229,7 @@
 	o := s.open[id]
 	o.target = target
 	o.started = time.Now()
-	o.reply(Grant{Target: target, Usual: s.sched.Usual(o.Route)})
+	o.reply(Grant{Target: target, Usual: s.sched.Usual(o.Route), Doubtful: s.loop.broken.has(o.Fingerprint)})
 }
 
 // Refuse implements pool.Delegate.
@@ -236,12 +239,9 @@
 	o.reply(Grant{Reason: r.Reason, RetryAfter: r.RetryAfter})
 }
 
-// Probe implements pool.Delegate.
-func (s *service) Probe(target string, origin pool.Origin) {
-	if origin == pool.OriginHome && s.loop.cfg.IsHome(s.name) {
-		s.loop.cfg.Probe(s.name, target)
-	}
-}
+// Probe implements pool.Delegate. The Scheduler asks for none: health checks
+// say nothing about gray failures.
+func (s *service) Probe(string, pool.Origin) {}
 
 // Event implements pool.Delegate. The Scheduler knows attempts by numbers of
 // its own; operators know requests by the ids of the callers.
--- a/gateway/homes/client.go
+++ b/gateway/homes/client.go
@@ -51,12 +51,6 @@
 // NewClient returns a Client.
 func NewClient(cfg Config) *Client { return &Client{cfg: cfg} }
 
-// IsHome reports whether this node is the home of a service.
-func (c *Client) IsHome(service string) bool {
-	homes := follow.Homes(service, c.cfg.Relays.Relays())
-	return len(homes) > 0 && homes[0].Name == c.cfg.Self
-}
-
 // Lease is the right to run an attempt on the granted target, or a refusal.
 type Lease struct {
 	balance.Grant
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -48,13 +48,11 @@
 	transport *control.Transport
 	// shared decides for the fleet where this node is a home, alone for this
 	// node while no home answers.
-	shared *balance.Loop
-	alone  *balance.Loop
-	homes  *homes.Client
-	counts *homes.Counts
-	// targets carries requests, probes health checks, whose answers name no request.
+	shared   *balance.Loop
+	alone    *balance.Loop
+	homes    *homes.Client
+	counts   *homes.Counts
 	targets  *exchange.Client
-	probes   *exchange.Client
 	callers  *ingress.Server
 	control  net.Listener
 	ready    *readiness
@@ -83,7 +81,6 @@
 		DialTimeout: dialTimeout, IdleTimeout: targetIdleTimeout, MaxIdle: maxIdleConnections,
 		Echo: exchange.EchoOwn, EchoHeader: platform.HeaderRequestID,
 	})
-	n.probes = exchange.NewClient(exchange.Options{DialTimeout: dialTimeout, Echo: exchange.EchoNone})
 	if err := n.joinFleet(); err != nil {
 		return nil, err
 	}
@@ -134,8 +131,6 @@
 		Retries:    retries,
 		Restarted:  !n.settings.FirstStart,
 		Seed:       xxhash.Sum64String(n.settings.Name),
-		Probe:      n.probe,
-		IsHome:     func(service string) bool { return n.homes.IsHome(service) },
 		Log:        n.log,
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -199,12 +199,12 @@
 		return res.response
 	}
 	r := &protocol.Response{}
-	r.SetStatusCode(res.outcome.Status())
+	r.SetStatusCode(status(res.outcome))
 	id := string(in.Header.Peek(platform.HeaderRequestID))
 	if id != "" {
 		r.Header.Set(platform.HeaderRequestID, id)
 	}
-	if row, _ := outcome.Lookup(res.outcome.Reason); row.RetryAfter {
+	if row, _ := outcome.Lookup(res.outcome.Reason); row.RetryAfter || res.outcome.Reason == outcome.ReasonPoison {
 		r.Header.Set(platform.HeaderRetryAfter, platform.FormatRetryAfter(max(res.outcome.RetryAfter, minRetryAfter)))
 	}
 	r.Header.SetContentType(outcome.ProblemMediaType)
@@ -212,21 +212,30 @@
 	return r
 }
 
+// status returns the status of an answer of filbertmill's own. A quarantine is
+// told as 429: the platform's callers take other 4xx for a faulty request.
+func status(o outcome.Outcome) int {
+	if o.Reason == outcome.ReasonPoison {
+		return http.StatusTooManyRequests
+	}
+	return o.Status()
+}
+
 // minRetryAfter is the least wait advised: a caller that comes back sooner
 // finds the same state.
 const minRetryAfter = 50 * time.Millisecond
 
 func (n *Node) logAnswer(in *ingress.Request, res result) {
-	status := res.outcome.Status()
+	code := status(res.outcome)
 	if res.response != nil {
-		status = res.response.StatusCode()
+		code = res.response.StatusCode()
 	}
 	line := n.log.Info
-	if status >= http.StatusInternalServerError {
+	if code >= http.StatusInternalServerError {
 		line = n.log.Warn
 	}
 	line("answered", "request", string(in.Header.Peek(platform.HeaderRequestID)), "host", string(in.Header.Host()),
-		"path", string(in.Path()), "status", status, "outcome", res.outcome.Kind, "reason", res.outcome.Reason,
+		"path", string(in.Path()), "status", code, "outcome", res.outcome.Kind, "reason", res.outcome.Reason,
 		"detail", res.outcome.Detail, "target", res.target, "home", res.home,
 		"version", res.version, "retry_after_ms", res.outcome.RetryAfter.Milliseconds(),
 		"elapsed_ms", time.Since(in.Received).Milliseconds())
