--- a/config/dynamic/config.go
+++ b/config/dynamic/config.go
@@ -117,7 +117,7 @@
 	// Priority is the rank in which requests are served, 0 first. Default: 0.
 	Priority int
 	// LatencyObjective is the time within which an answer is worth most to the
-	// caller; 0 means the timeout. Default: 0s.
+	// caller; 0 means the timeout. The INI form does not set it.
 	LatencyObjective time.Duration
 	// Idempotency says how requests may be repeated. Default: method.
 	Idempotency Idempotency
--- a/config/dynamic/fields.go
+++ b/config/dynamic/fields.go
@@ -71,8 +71,6 @@
 	schema.Name("service", func(r *Route) *string { return &r.Service }).AsRequired().AsFixed(),
 	schema.Integer("attempts", "targets", 1, maxAttempts, func(r *Route) *int { return &r.Attempts }).WithDefault("3"),
 	schema.Integer("priority", "rank, 0 first", 0, maxPriority, func(r *Route) *int { return &r.Priority }).WithDefault("0"),
-	schema.Duration("latency_objective", 0, maxTimeout, func(r *Route) *time.Duration { return &r.LatencyObjective }).
-		WithDefault("0s"),
 	schema.OneOf("idempotency", []Idempotency{IdempotentByMethod, IdempotentAlways, IdempotentNever},
 		func(r *Route) *Idempotency { return &r.Idempotency }).WithDefault("method"),
 	schema.Duration("timeout", time.Millisecond, maxTimeout, func(r *Route) *time.Duration { return &r.Timeout }).
--- a/node/home.go
+++ b/node/home.go
@@ -14,9 +14,6 @@
 	"filbertmill.example/pool"
 )
 
-// maxAttempts is the most targets that one request is offered to.
-const maxAttempts = 3
-
 // targetAttempt is the end of one try on one target.
 type targetAttempt struct {
 	target  string
@@ -84,7 +81,7 @@
 			res = combine(last, res)
 		}
 		last = res
-		if try == maxAttempts || !n.mayRetry(ctx, r, a, try) {
+		if try >= r.route.Attempts || !n.mayRetry(ctx, r, a, try) {
 			return last
 		}
 		last.settled(nil)
@@ -116,6 +113,7 @@
 			Caller:     r.caller,
 			Idempotent: r.idempotent,
 			Deadline:   r.deadline,
+			Priority:   r.route.Priority,
 			Exclude:    exclude,
 		},
 	})
