pool: most likely sound targets are kept in use at all times

Work that may run once was packed on the targets that answered last; one that had failed once kept a risk above a quarter and was not tried again while others were free. Now four fifths of the targets up to a risk of 0.35 are used within 1.6 s. Ruled out: foreseeing the loss; the wide mode starts after it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,12 +75,12 @@
 	e.granted, e.target, e.name, e.home = true, t.ID, lease.Target, lease.Home
 	n.paths.note(time.Now(), lease.Target, e.verdict)
 	finish(balance.Report{Verdict: e.verdict, Latency: time.Since(start), Crashed: crashed})
-	n.stats.attempts.Add(verdictName(e.verdict), 1)
+	n.stats.attempts.Add(e.verdict.String(), 1)
 	line := n.log.Info
 	if e.verdict == pool.VerdictAnswered && p.repeat == balance.First {
 		line = n.log.Debug // the line on the answer says it all
 	}
-	line("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", verdictName(e.verdict),
+	line("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", e.verdict.String(),
 		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.repeat, "detail", e.outcome.Detail)
 	return e
 }
@@ -170,11 +170,3 @@
 	}
 	return e
 }
-
-func verdictName(v pool.Verdict) string {
-	names := [...]string{"answered", "server_error", "refused", "unreachable", "reset", "truncated", "timeout", "cancelled"}
-	if int(v) < len(names) {
-		return names[v]
-	}
-	return "undefined"
-}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -73,6 +73,18 @@
 	VerdictCancelled
 )
 
+var verdictNames = [...]string{
+	"answered", "server_error", "refused", "unreachable", "reset", "truncated", "timeout", "cancelled",
+}
+
+// String returns the verdict's name in logs and metrics.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "undefined"
+}
+
 // Result reports the end of an attempt to the Scheduler.
 type Result struct {
 	// Verdict classifies the end.
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -37,13 +37,20 @@
 	likelyRisk = 0.5
 	// riskFloor is the risk up to which targets count as equally sound.
 	riskFloor = 0.005
-	// spreadLoss is the share of lost requests above which at least spreadShare
-	// of the targets are used within spreadTime, up to spreadRisk: the floor holds
-	// 0.7 of the sound ones in use over 2 s once a tenth is lost.
+	// At least keptShare of the targets that are likely sound, those up to
+	// keptRisk, are used within spreadTime: the floor wants 0.7 of the sound ones
+	// in use over 2 s at the moment when a tenth is lost, which comes unforeseen.
+	keptShare  = 0.8
+	keptRisk   = 0.35
+	spreadTime = 1600 * time.Millisecond
+	// spreadLoss is the share of lost requests above which spreadShare of all
+	// targets are used within spreadTime, up to spreadRisk by work that may be
+	// repeated: a doubtful target may be sound by now.
 	spreadLoss  = 0.07
 	spreadShare = 0.85
-	spreadTime  = 1600 * time.Millisecond
 	spreadRisk  = 0.95
+	// spreadReview is how long a share in use, once counted, is taken to hold.
+	spreadReview = 25 * time.Millisecond
 	// idleTime is how long a target may go unused before a repeatable attempt is
 	// sent there to learn about it, if its risk is at most idleRisk, and
 	// exploreShare the share of such attempts.
@@ -219,7 +226,7 @@
 
 // choose returns the free target where a costs least, or nil if a waits.
 func (s *steered) choose(r *round, a *steeredAttempt) *steeredTarget {
-	if t := s.spread(r, a); t != nil {
+	if t := s.idleOne(r, a); t != nil {
 		return t
 	}
 	var best, idle *steeredTarget
@@ -277,41 +284,55 @@
 	return !slices.Contains(a.Exclude, t.Name)
 }
 
-// spread returns an idle target for a while much work is lost and few targets
-// are in use: a doubtful one may be sound by now. It returns nil otherwise.
-func (s *steered) spread(r *round, a *steeredAttempt) *steeredTarget {
-	if s.lost <= spreadLoss || s.shareUsed(r.now) >= spreadShare {
-		return nil
-	}
-	limit := likelyRisk
-	if a.mayFail() {
+// idleOne returns the least doubtful idle target while fewer targets are in use
+// than should be, and nil otherwise.
+func (s *steered) idleOne(r *round, a *steeredAttempt) *steeredTarget {
+	limit := keptRisk
+	switch {
+	case s.lost > spreadLoss && a.mayFail():
 		limit = spreadRisk
+	case s.lost > spreadLoss:
+		limit = likelyRisk
+	}
+	if !s.mustSpread(r) {
+		return nil
 	}
 	var best *steeredTarget
+	var bestRisk float64
 	for _, t := range r.free {
-		if r.now.Sub(t.used) < spreadTime || !a.fits(t) || s.riskOf(r, t) > limit {
+		if r.now.Sub(t.used) < spreadTime || !a.fits(t) {
 			continue
 		}
-		if best == nil || s.riskOf(r, t) < s.riskOf(r, best) {
-			best = t
+		risk := s.riskFor(r, a, t)
+		if risk <= limit && (best == nil || risk < bestRisk) {
+			best, bestRisk = t, risk
 		}
 	}
 	return best
 }
 
-// shareUsed returns the share of the usable targets that were used lately.
-func (s *steered) shareUsed(now time.Time) float64 {
-	usable, used := 0, 0
+// mustSpread says whether fewer targets are in use than should be: of all while
+// much work is lost, else of those that are likely sound.
+func (s *steered) mustSpread(r *round) bool {
+	if r.now.Sub(s.spread.counted) < spreadReview {
+		return s.spread.due
+	}
+	share, limit := keptShare, keptRisk
+	if s.lost > spreadLoss {
+		share, limit = spreadShare, 1
+	}
+	likely, used := 0, 0
 	for _, t := range s.order {
-		if !t.usable() {
+		if !t.usable() || s.riskOf(r, t) > limit {
 			continue
 		}
-		usable++
-		if now.Sub(t.used) < spreadTime {
+		likely++
+		if r.now.Sub(t.used) < spreadTime {
 			used++
 		}
 	}
-	return float64(used) / float64(max(usable, 1))
+	s.spread = spreadState{counted: r.now, due: float64(used) < share*float64(likely)}
+	return s.spread.due
 }
 
 // cost returns the expected cost of running a on t, as time.
@@ -354,11 +375,19 @@
 	}
 }
 
+// before says how many targets had the request of a, for those who read a refusal.
+func (a *steeredAttempt) before() string {
+	if len(a.Exclude) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("this was a further attempt; %d targets had the request before", len(a.Exclude))
+}
+
 // refuse ends an attempt that never started and records why.
 func (s *steered) refuse(now time.Time, a *steeredAttempt, r Refusal) {
 	s.delegate.Event(event.Event{
 		Time: now, Kind: event.KindRefusal, Service: s.cfg.Service, Request: fmt.Sprint(a.ID), Rule: string(r.Reason),
-		Evidence: event.Evidence{Queued: len(s.waiting), Wait: s.drainTime(a), HealthySlots: s.slots(a)},
+		Evidence: event.Evidence{Queued: len(s.waiting), Wait: s.drainTime(a), HealthySlots: s.slots(a), Detail: a.before()},
 	})
 	s.countLoss(true)
 	s.delegate.Refuse(a.ID, r)
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -42,6 +42,9 @@
 	// be a gray failure, and a repeated attempt costs little.
 	limitRecovery = 200 * time.Millisecond
 	limitShare    = 0.5
+	// noTargetWait is the least wait advised to a request that no target may
+	// take: a listing or a return of targets takes as long.
+	noTargetWait = time.Second
 	// lossWeight is the weight of the latest request in the share not served.
 	lossWeight = 0.02
 	// steeredTick is how often a busy Scheduler looks at what is due.
@@ -71,6 +74,14 @@
 	ticked   time.Time
 	// lost is the share of requests that were lately not served.
 	lost float64
+	// spread says whether too few targets are in use.
+	spread spreadState
+}
+
+// spreadState is whether too few targets were in use when they were counted.
+type spreadState struct {
+	counted time.Time
+	due     bool
 }
 
 // steeredTarget is what is known of one target.
@@ -88,6 +99,23 @@
 	// list that was known and has not been used yet.
 	used   time.Time
 	joined bool
+	// last is the latest end of an attempt.
+	last lastEnd
+}
+
+// lastEnd is the end of an attempt on a target.
+type lastEnd struct {
+	at     time.Time
+	result Result
+}
+
+// detail says what a change of belief came from.
+func (e lastEnd) detail(now time.Time) string {
+	if e.at.IsZero() {
+		return "no attempt has ended there"
+	}
+	return fmt.Sprintf("the latest attempt there ended %s ago: %s after %s", now.Sub(e.at).Round(time.Millisecond),
+		e.result.Verdict, e.result.Latency.Round(time.Millisecond))
 }
 
 // steeredAttempt is an attempt that was submitted and not ended.
@@ -187,7 +215,7 @@
 	case !a.Deadline.After(now):
 		return Refusal{Reason: outcome.ReasonTooLate}, false
 	case s.slots(a) == 0:
-		return Refusal{Reason: outcome.ReasonNoTarget, RetryAfter: time.Second}, false
+		return Refusal{Reason: outcome.ReasonNoTarget, RetryAfter: max(drain, noTargetWait)}, false
 	case len(s.waiting) >= s.cfg.QueueLimit:
 		return Refusal{Reason: outcome.ReasonQueueFull, RetryAfter: drain}, false
 	case now.Add(drain + s.latency(a.Route)).After(a.Deadline):
@@ -207,7 +235,8 @@
 	return n
 }
 
-// drainTime returns how long the work that starts before a keeps the slots busy.
+// drainTime returns how long the work that starts before a keeps the slots busy:
+// those that could run a, or all if it may go to none.
 func (s *steered) drainTime(a *steeredAttempt) time.Duration {
 	var work time.Duration
 	for _, other := range s.waiting {
@@ -215,7 +244,11 @@
 			work += s.latency(other.Route)
 		}
 	}
-	return work / time.Duration(max(s.slots(a), 1))
+	slots := s.slots(a)
+	if slots == 0 {
+		slots = s.slots(&steeredAttempt{})
+	}
+	return work / time.Duration(max(slots, 1))
 }
 
 // latency returns the usual latency of a route.
@@ -270,6 +303,7 @@
 // learn takes the end of an attempt as evidence.
 func (s *steered) learn(now time.Time, a *steeredAttempt, res Result) {
 	t := a.target
+	t.last = lastEnd{now, res}
 	usual := s.latency(a.Route)
 	slowness := float64(res.Latency) / float64(usual)
 	switch res.Verdict {
@@ -334,7 +368,7 @@
 	s.delegate.Event(event.Event{
 		Time: now, Kind: kindOf(from, t.state), Service: s.cfg.Service, Target: t.Name,
 		Rule: rule, From: string(from), To: string(t.state),
-		Evidence: event.Evidence{Score: t.belief.now(now), Threshold: suspicionBelief, Samples: len(t.running)},
+		Evidence: event.Evidence{Score: t.belief.now(now), Threshold: suspicionBelief, Detail: t.last.detail(now)},
 	})
 }
 
--- a/pool/steered_test.go
+++ b/pool/steered_test.go
@@ -183,6 +183,23 @@
 	qt.Check(t, r.refused[2].Reason, qt.Equals, outcome.ReasonNoTarget)
 }
 
+// TestWaitOfARequestThatNoTargetMayTake has a request be excluded from all
+// targets while work waits: the wait advised is that of the queue.
+func TestWaitOfARequestThatNoTargetMayTake(t *testing.T) {
+	s, r := steeredService(2)
+	s.usual["r"] = 200 * time.Millisecond
+	for id := RequestID(1); id <= 30; id++ {
+		q := safeRequest(id, epoch)
+		q.Deadline = epoch.Add(time.Minute)
+		s.Submit(epoch, q)
+	}
+	none := unsafeRequest(31, epoch)
+	none.Exclude = []string{"a", "b"}
+	s.Submit(epoch, none)
+	// Four slots end 26 waiting requests in 1.3 s.
+	qt.Check(t, r.refused[31].RetryAfter, qt.Equals, 1300*time.Millisecond)
+}
+
 // BenchmarkSteeredCrest submits and finishes attempts behind a long queue: the
 // work for one must not grow with the queue times the targets.
 func BenchmarkSteeredCrest(b *testing.B) {
@@ -216,3 +233,43 @@
 		})
 	}
 }
+
+// TestMostSoundTargetsAreInUse plays work that few targets could carry, on
+// targets of which some failed at first: at any moment at least 0.7 of the sound
+// ones have been used within 2 s, so that a loss of power finds them in use.
+func TestMostSoundTargetsAreInUse(t *testing.T) {
+	for _, safe := range []bool{false, true} {
+		t.Run(fmt.Sprintf("safe=%v", safe), func(t *testing.T) {
+			const targets, floorShare, floorWindow = 20, 0.7, 2 * time.Second
+			s, r := steeredService(targets)
+			failing := map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": true}
+			used := make(map[string]time.Time)
+			for id := RequestID(1); id <= 800; id++ {
+				now := epoch.Add(time.Duration(id) * 25 * time.Millisecond)
+				q := unsafeRequest(id, now)
+				q.Idempotent = safe
+				// All connections lead to a few targets.
+				q.Prefer = []string{"a", "f", "g"}
+				s.Submit(now, q)
+				name := r.started[id]
+				qt.Assert(t, name, qt.Not(qt.Equals), "")
+				used[name] = now
+				res := Result{Verdict: VerdictAnswered, Latency: 20 * time.Millisecond}
+				if failing[name] && now.Before(epoch.Add(3*time.Second)) {
+					res = Result{Verdict: VerdictReset, Latency: time.Millisecond}
+				}
+				s.Finish(now.Add(res.Latency), id, res)
+				if now.Before(epoch.Add(12 * time.Second)) {
+					continue
+				}
+				inUse := 0
+				for _, at := range used {
+					if now.Sub(at) <= floorWindow {
+						inUse++
+					}
+				}
+				qt.Assert(t, float64(inUse) >= floorShare*targets, qt.IsTrue, qt.Commentf("request %d: %d of %d in use", id, inUse, targets))
+			}
+		})
+	}
+}
