--- a/cmd/filbertmill/explain.go
+++ b/cmd/filbertmill/explain.go
@@ -18,7 +18,8 @@
 	Service string        `arg:"--service" placeholder:"NAME" help:"decisions on this service"`
 	Since   time.Duration `arg:"--since" placeholder:"DURATION" help:"how far to look back, for example 10m [default: as far as is kept]"`
 	JSON    bool          `arg:"--json" help:"print JSON in place of sentences"`
-	Admin   string        `arg:"--admin,required,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
+	Admin   string        `arg:"--admin,env:FILBERTMILL_ADMIN" placeholder:"ADDRESS" help:"admin address of any node, as IP:port"`
+	Log     []string      `arg:"--log" placeholder:"FILE" help:"read the log lines saved in these files and ask no node"`
 }
 
 func (c *explainCommand) run() int {
@@ -30,6 +31,13 @@
 		fmt.Fprintln(os.Stderr, "filbertmill: --since must not be negative")
 		return exitUsage
 	}
+	if len(c.Log) > 0 {
+		return c.explainSaved()
+	}
+	if c.Admin == "" {
+		fmt.Fprintln(os.Stderr, "filbertmill: name a node with --admin or saved logs with --log")
+		return exitUsage
+	}
 	var x event.Explanation
 	if err := askNode(c.Admin, node.ExplainPath, c.query(), &x); err != nil {
 		return report(err)
--- a/event/reason.go
+++ b/event/reason.go
@@ -5,6 +5,7 @@
 var reasons = map[string]string{
 	"absolved":            "a request and not the target was at fault",
 	"bad_request":         "the request was malformed",
+	"belief":              "what it answered, and the time since, changed how likely it is to be faulty",
 	"caller_left":         "its caller closed the connection",
 	"caller_share":        "its caller already held its whole share of the service while others waited",
 	"common_cause":        "its peers suffer alike in the same time",
--- a/event/sentence.go
+++ b/event/sentence.go
@@ -11,11 +11,14 @@
 // timeFormat is how sentences write the time, in UTC.
 const timeFormat = "2006-01-02T15:04:05.000Z"
 
+// FormatTime writes a time as sentences do.
+func FormatTime(t time.Time) string { return t.UTC().Format(timeFormat) }
+
 // Sentence renders the event for people: when and where the decision was
 // taken, what it was, why, and the evidence.
 func (e Event) Sentence() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s: %s, because %s.", e.Time.UTC().Format(timeFormat), e.Node, e.what(), Reason(e.Rule))
+	fmt.Fprintf(&b, "%s %s: %s, because %s.", FormatTime(e.Time), e.Node, e.what(), Reason(e.Rule))
 	if evidence := e.Evidence.String(); evidence != "" {
 		fmt.Fprintf(&b, " Evidence: %s.", evidence)
 	}
--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -40,6 +40,14 @@
 	ControlAddress string `cbor:"5,keyasint" json:"control_address"`
 }
 
+// describe names the node, or its address while the name is not known.
+func (p Peer) describe() string {
+	if p.Name == "" {
+		return p.ControlAddress
+	}
+	return p.Name
+}
+
 // Handler answers one message from the named node. The reply is sent only if
 // the sender asked for one.
 type Handler func(ctx context.Context, from string, body []byte) (reply any, err error)
@@ -188,7 +196,7 @@
 	select {
 	case l.busy <- struct{}{}:
 	case <-ctx.Done():
-		return nil, errors.Wrapf(ctx.Err(), "connect to %s", to.Name)
+		return nil, errors.Wrapf(ctx.Err(), "connect to %s", to.describe())
 	}
 	defer func() { <-l.busy }()
 	if l.conn != nil {
@@ -204,14 +212,14 @@
 		}
 	}
 	if err := l.awaitTurn(ctx); err != nil {
-		return nil, errors.Wrapf(err, "connect to %s", to.Name)
+		return nil, errors.Wrapf(err, "connect to %s", to.describe())
 	}
 	c, err := t.dial(ctx, to)
 	if err != nil {
 		t.mu.Lock()
 		l.backoff.Fail(time.Now(), t.rng)
 		t.mu.Unlock()
-		return nil, errors.Wrapf(err, "connect to %s", to.Name)
+		return nil, errors.Wrapf(err, "connect to %s", to.describe())
 	}
 	l.backoff.Succeed()
 	l.conn = c
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -200,6 +200,8 @@
 	case f.last.response != nil && e.response == nil:
 	case f.last.outcome.Kind == outcome.Unknown && e.notRun:
 	case !e.granted && f.last.outcome.Reason != "":
+		// The reason of the attempt before says more; the wait is the later one's.
+		f.last.outcome.RetryAfter = max(f.last.outcome.RetryAfter, e.outcome.RetryAfter)
 	default:
 		f.last = e.result
 	}
--- a/gateway/flight_test.go
+++ b/gateway/flight_test.go
@@ -157,6 +157,14 @@
 	qt.Check(t, s.plans[2].only, qt.DeepEquals, hashes([]string{"t0", "t1"}))
 }
 
+// TestRefusalAfterARefusalTellsTheLongerWait has a target refuse the request and
+// the home know no other: callers are told to wait as long as the home expects.
+func TestRefusalAfterARefusalTellsTheLongerWait(t *testing.T) {
+	res, _ := fly(t, false, scripted{end: refusedByTarget()}, scripted{end: noTarget()})
+	qt.Check(t, res.outcome.Reason, qt.Equals, outcome.ReasonTargetRefused)
+	qt.Check(t, res.outcome.RetryAfter, qt.Equals, time.Second)
+}
+
 // TestOverdueLookupIsHedged has the first target hang.
 func TestOverdueLookupIsHedged(t *testing.T) {
 	res, s := fly(t, true, scripted{end: answered(200), after: time.Hour}, scripted{end: answered(200), after: 50 * time.Millisecond})
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -284,6 +284,13 @@
 	return time.Since(f.storeAt)
 }
 
+// storeKnown says whether the store, or a relay for it, was ever heard of.
+func (f *Follower) storeKnown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.storeAt.IsZero()
+}
+
 func (f *Follower) noteStore(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -75,12 +75,16 @@
 func (f *Follower) follow(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	away := f.storeAge()
+	away, known := f.storeAge(), f.storeKnown()
 	at, err := f.read(ctx, away)
 	if err != nil {
 		return err
 	}
-	f.cfg.Log.Info("store read", "revision", at, "away_ms", away.Milliseconds())
+	if known {
+		f.cfg.Log.Info("store read", "revision", at, "away_ms", away.Milliseconds())
+	} else {
+		f.cfg.Log.Info("store read for the first time", "revision", at)
+	}
 	w := &watch{f: f, ended: make(chan error, 1)}
 	w.at.Store(int64(at))
 	go func() { w.ended <- w.run(ctx) }()
--- a/gateway/homes/counts.go
+++ b/gateway/homes/counts.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/gateway/balance"
 )
@@ -22,11 +24,12 @@
 	transport *control.Transport
 	relays    Relays
 	self      string
+	log       hclog.Logger
 }
 
 // NewCounts returns Counts; Run makes them work.
-func NewCounts(loop *balance.Loop, t *control.Transport, relays Relays, self string) *Counts {
-	c := &Counts{loop: loop, transport: t, relays: relays, self: self}
+func NewCounts(loop *balance.Loop, t *control.Transport, relays Relays, self string, log hclog.Logger) *Counts {
+	c := &Counts{loop: loop, transport: t, relays: relays, self: self, log: log}
 	t.Handle(kindCounts, c.take)
 	return c
 }
@@ -58,7 +61,10 @@
 			ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 			defer cancel()
 			// A home that misses counts grants a little more after a takeover.
-			_ = c.transport.Send(ctx, control.Peer{Name: n.Name, ControlAddress: n.ControlAddress}, kindCounts, counts)
+			err := c.transport.Send(ctx, control.Peer{Name: n.Name, ControlAddress: n.ControlAddress}, kindCounts, counts)
+			if err != nil {
+				c.log.Debug("retry counts lost", "home", n.Name, "services", len(counts), "error", err)
+			}
 		}()
 	}
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -121,7 +121,7 @@
 		Self: s.Name, Relays: n.follower, Transport: n.transport, Shared: n.shared, Alone: n.alone, Log: n.log,
 	})
 	homes.Serve(n.shared, n.transport)
-	n.counts = homes.NewCounts(n.shared, n.transport, n.follower, s.Name)
+	n.counts = homes.NewCounts(n.shared, n.transport, n.follower, s.Name, n.log)
 	return nil
 }
 
