pool: nine tenths of the likely sound targets in use; late work that cannot start is refused

Four fifths of all may miss four of twelve; now nine tenths, up to a risk of 0.5 for work that may be repeated, chosen by cost so that held connections are used.

It is refused when it would not start behind what waits before it and what comes.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -127,6 +127,8 @@
 	Response *protocol.Response
 	// Body is the answer's body; it fails unless the body is whole.
 	Body *Body
+	// Idle is how long the connection had been unused before, or 0 for a new one.
+	Idle time.Duration
 }
 
 // Do runs one exchange up to the answer's headers. The context bounds the
@@ -142,12 +144,15 @@
 		_ = cn.SetDeadline(time.Time{})
 	}
 	stop := context.AfterFunc(ctx, cn.interrupt)
+	idle := cn.idleTime()
 	ans, f := c.exchange(ctx, cn, call)
 	if f != nil {
 		stop()
 		cn.abort()
+		f.Idle = idle
 		return nil, f
 	}
+	ans.Idle = idle
 	ans.Body.stop = stop
 	return ans, nil
 }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -28,6 +28,14 @@
 	aborted atomic.Bool
 }
 
+// idleTime returns how long the connection has been unused, or 0 if it is new.
+func (c *conn) idleTime() time.Duration {
+	if c.parked.IsZero() {
+		return 0
+	}
+	return max(time.Since(c.parked), 1)
+}
+
 // interrupt makes blocked reads and writes fail. It may be called from any goroutine.
 func (c *conn) interrupt() {
 	_ = c.SetDeadline(pastDeadline)
--- a/exchange/failure.go
+++ b/exchange/failure.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"time"
 
 	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cockroachdb/errors"
@@ -61,6 +62,10 @@
 	Cause Cause
 	// Err is the underlying error.
 	Err error
+	// Idle is how long the connection had been unused before the exchange, or 0
+	// for a new one. The other end may have forgotten an idle connection, and
+	// resets whatever comes on it.
+	Idle time.Duration
 }
 
 // Error describes the failure.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,8 @@
 	failed bool
 	// name is the target's name.
 	name string
+	// idle is how long the connection had been unused, or 0 if it was new.
+	idle time.Duration
 }
 
 // plan says on which targets an attempt may run, and why there is one.
@@ -81,7 +83,7 @@
 		line = n.log.Debug // the line on the answer says it all
 	}
 	line("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", e.verdict.String(),
-		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.repeat, "detail", e.outcome.Detail)
+		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.repeat, "idle_ms", e.idle.Milliseconds(), "detail", e.outcome.Detail)
 	return e
 }
 
@@ -123,7 +125,9 @@
 		Address: t.Address, Request: out, MaxResponseBytes: r.route.MaxResponseBytes, Unframed: true,
 	})
 	var body []byte
+	var idle time.Duration
 	if f == nil {
+		idle = ans.Idle
 		var err error
 		body, err = io.ReadAll(ans.Body)
 		_ = ans.Body.Close()
@@ -132,9 +136,13 @@
 		}
 	}
 	if f != nil {
-		return failedEnd(f)
+		e := failedEnd(f)
+		e.idle = max(idle, f.Idle)
+		return e
 	}
-	return answeredEnd(ans.Response, body)
+	e := answeredEnd(ans.Response, body)
+	e.idle = idle
+	return e
 }
 
 // failedEnd is the end of an exchange without a whole answer.
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -37,10 +37,11 @@
 	likelyRisk = 0.5
 	// riskFloor is the risk up to which targets count as equally sound.
 	riskFloor = 0.005
-	// At least keptShare of the targets that are likely sound, those up to
-	// keptRisk, are used within spreadTime: the floor wants 0.7 of the sound ones
-	// in use over 2 s at the moment when a tenth is lost, which comes unforeseen.
-	keptShare  = 0.8
+	// At least keptShare of the targets that are likely sound are used within
+	// spreadTime: the floor wants 0.7 of the sound ones in use over 2 s at the
+	// moment when a tenth is lost, which comes unforeseen. Likely sound are those
+	// up to keptRisk, for work that may be repeated those up to likelyRisk.
+	keptShare  = 0.9
 	keptRisk   = 0.35
 	spreadTime = 1600 * time.Millisecond
 	// spreadLoss is the share of lost requests above which spreadShare of all
@@ -156,6 +157,7 @@
 func (s *steered) start(now time.Time, a *steeredAttempt, t *steeredTarget) {
 	a.started, a.target = now, t
 	t.used, t.joined = now, false
+	s.started.add(now, s.latency(a.Route))
 	t.running[a.ID] = a
 	s.running[a.ID] = a
 	s.delegate.Start(a.ID, t.Name)
@@ -284,40 +286,49 @@
 	return !slices.Contains(a.Exclude, t.Name)
 }
 
-// idleOne returns the least doubtful idle target while fewer targets are in use
-// than should be, and nil otherwise.
+// idleOne returns the idle target where a costs least while fewer targets are in
+// use than should be, and nil otherwise.
 func (s *steered) idleOne(r *round, a *steeredAttempt) *steeredTarget {
-	limit := keptRisk
-	switch {
-	case s.lost > spreadLoss && a.mayFail():
-		limit = spreadRisk
-	case s.lost > spreadLoss:
-		limit = likelyRisk
-	}
-	if !s.mustSpread(r) {
+	limit := s.spreadLimit(a)
+	if !s.mustSpread(r, a.mayFail(), limit) {
 		return nil
 	}
 	var best *steeredTarget
-	var bestRisk float64
+	var bestCost time.Duration
 	for _, t := range r.free {
 		if r.now.Sub(t.used) < spreadTime || !a.fits(t) {
 			continue
 		}
 		risk := s.riskFor(r, a, t)
-		if risk <= limit && (best == nil || risk < bestRisk) {
-			best, bestRisk = t, risk
+		if risk > limit {
+			continue
+		}
+		if c := s.cost(a, t, risk); best == nil || c < bestCost {
+			best, bestCost = t, c
 		}
 	}
 	return best
 }
 
+// spreadLimit returns the risk up to which a is given to idle targets.
+func (s *steered) spreadLimit(a *steeredAttempt) float64 {
+	switch {
+	case s.lost > spreadLoss && a.mayFail():
+		return spreadRisk
+	case s.lost > spreadLoss || a.mayFail():
+		return likelyRisk
+	}
+	return keptRisk
+}
+
 // mustSpread says whether fewer targets are in use than should be: of all while
-// much work is lost, else of those that are likely sound.
-func (s *steered) mustSpread(r *round) bool {
-	if r.now.Sub(s.spread.counted) < spreadReview {
-		return s.spread.due
+// much work is lost, else of those up to the limit.
+func (s *steered) mustSpread(r *round, mayFail bool, limit float64) bool {
+	state := s.spread[mayFail]
+	if r.now.Sub(state.counted) < spreadReview {
+		return state.due
 	}
-	share, limit := keptShare, keptRisk
+	share := keptShare
 	if s.lost > spreadLoss {
 		share, limit = spreadShare, 1
 	}
@@ -331,8 +342,9 @@
 			used++
 		}
 	}
-	s.spread = spreadState{counted: r.now, due: float64(used) < share*float64(likely)}
-	return s.spread.due
+	state = spreadState{counted: r.now, due: float64(used) < share*float64(likely)}
+	s.spread[mayFail] = state
+	return state.due
 }
 
 // cost returns the expected cost of running a on t, as time.
@@ -359,18 +371,41 @@
 
 // expire refuses waiting attempts that cannot end in time any more.
 func (s *steered) expire(now time.Time) {
+	s.refuseWaiting(now, func(a *steeredAttempt) bool {
+		return now.Add(s.latency(a.Route) / 2).After(a.Deadline)
+	})
+}
+
+// refuseHopeless refuses late attempts that would not start in time behind the
+// work that goes first: what waits before them, and what comes meanwhile.
+func (s *steered) refuseHopeless(now time.Time) {
+	var ahead time.Duration
+	slots, left := s.queueSlots(now)
+	s.refuseWaiting(now, func(a *steeredAttempt) bool {
+		wait := time.Duration(float64(ahead) / slots / left)
+		usual := s.latency(a.Route)
+		if a.late == 1 && now.Add(wait+usual/2).After(a.Deadline) {
+			return true
+		}
+		ahead += usual
+		return false
+	})
+}
+
+// refuseWaiting refuses the waiting attempts that are hopeless.
+func (s *steered) refuseWaiting(now time.Time, hopeless func(*steeredAttempt) bool) {
 	kept := s.waiting[:0]
-	var expired []*steeredAttempt
+	var refused []*steeredAttempt
 	for _, a := range s.waiting {
-		if now.Add(s.latency(a.Route) / 2).After(a.Deadline) {
-			expired = append(expired, a)
+		if hopeless(a) {
+			refused = append(refused, a)
 		} else {
 			kept = append(kept, a)
 		}
 	}
 	clear(s.waiting[len(kept):])
 	s.waiting = kept
-	for _, a := range expired {
+	for _, a := range refused {
 		s.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: s.drainTime(a)})
 	}
 }
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -74,8 +74,11 @@
 	ticked   time.Time
 	// lost is the share of requests that were lately not served.
 	lost float64
-	// spread says whether too few targets are in use.
-	spread spreadState
+	// offered is the work that came lately, and started that which got a target.
+	offered, started load
+	// spread says whether too few targets are in use, for work that may be
+	// repeated and for work that may not.
+	spread map[bool]spreadState
 }
 
 // spreadState is whether too few targets were in use when they were counted.
@@ -141,6 +144,7 @@
 		targets:  make(map[string]*steeredTarget),
 		running:  make(map[RequestID]*steeredAttempt),
 		usual:    make(map[string]time.Duration),
+		spread:   make(map[bool]spreadState),
 	}
 }
 
@@ -200,6 +204,7 @@
 		r.Due = r.Deadline
 	}
 	a := &steeredAttempt{Request: r, submitted: now}
+	s.offered.add(now, s.latency(a.Route))
 	if refusal, ok := s.admit(now, a); !ok {
 		s.refuse(now, a, refusal)
 		return
@@ -393,6 +398,7 @@
 	}
 	s.expire(now)
 	s.sortWaiting(now)
+	s.refuseHopeless(now)
 	s.dispatch(now)
 }
 
--- a/pool/steered_test.go
+++ b/pool/steered_test.go
@@ -128,6 +128,54 @@
 	}
 }
 
+// TestLateWorkIsNotHeldAtAnOverload plays an overload that lasts: work that can
+// no longer be answered when it is due goes behind all that comes, so that it is
+// told at once that it will not be served.
+func TestLateWorkIsNotHeldAtAnOverload(t *testing.T) {
+	const usual, interval = 200 * time.Millisecond, 25 * time.Millisecond
+	s, r := steeredService(2)
+	s.usual["r"] = usual
+	submitted := make(map[RequestID]time.Time)
+	ends := make(map[RequestID]time.Time)
+	refusedAt := make(map[RequestID]time.Time)
+	seen := make(map[RequestID]bool)
+	for ms := 0; ms < 6000; ms += 5 {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		if ms < 5000 && ms%int(interval.Milliseconds()) == 0 {
+			id := RequestID(ms + 1)
+			submitted[id] = now
+			s.Submit(now, unsafeRequest(id, now))
+		}
+		for id, end := range ends {
+			if !end.After(now) {
+				delete(ends, id)
+				s.Finish(now, id, Result{Verdict: VerdictAnswered, Latency: usual})
+			}
+		}
+		s.Tick(now)
+		for id := range r.started {
+			if !seen[id] {
+				seen[id], ends[id] = true, now.Add(usual)
+			}
+		}
+		for id := range r.refused {
+			if _, known := refusedAt[id]; !known {
+				refusedAt[id] = now
+			}
+		}
+	}
+	// Four slots answer 20 requests a second, half of those that come.
+	qt.Check(t, len(r.started) >= 100, qt.IsTrue, qt.Commentf("%d started", len(r.started)))
+	held := 0
+	for id, at := range refusedAt {
+		// A request is late 400 ms after it came.
+		if at.Sub(submitted[id]) > 600*time.Millisecond {
+			held++
+		}
+	}
+	qt.Check(t, held <= len(refusedAt)/20, qt.IsTrue, qt.Commentf("%d of %d refused were held", held, len(refusedAt)))
+}
+
 // TestQueueServesWhatIsStillDue has requests that missed their objective wait
 // behind those that can still meet it, and priority go before both.
 func TestQueueServesWhatIsStillDue(t *testing.T) {
