soak: promises are checked while it runs; faults compiled in on purpose; plot; planned work

A broken promise prints what the nodes logged of its request. The stand-in serves reads that lag. Answers at the end of their time and refusals by a home name target and home.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,7 +58,9 @@
 		return end{result: refused(endReason(ctx), 0), notRun: true, failed: true}
 	}
 	if lease.Target == "" {
-		return end{result: refused(lease.Reason, lease.RetryAfter), notRun: true, failed: true}
+		e := end{result: refused(lease.Reason, lease.RetryAfter), notRun: true, failed: true}
+		e.home = lease.Home
+		return e
 	}
 	finish := func(rep balance.Report) {
 		rep.ID, rep.Service = a.ID, a.Service
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -225,7 +225,7 @@
 		return f.last
 	}
 	if len(f.used) > 0 {
-		return result{outcome: outcome.New(outcome.ReasonTimeout, "", 0)}
+		return result{outcome: outcome.New(outcome.ReasonTimeout, "", 0), target: f.used[len(f.used)-1]}
 	}
 	return refused(outcome.ReasonTooLate, minRetryAfter)
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -16,6 +16,8 @@
 	budgetRatio = 0.2
 	budgetExtra = 50
 	budgetTime  = 10 * time.Second
+	// routeAttempts is the number of targets that a request may reach.
+	routeAttempts = 3
 	// contactTime is how long after a fault the bounds in time do not hold yet.
 	contactTime = 6 * time.Second
 	// olderSlack is how long after a version was seen requests that were sent
@@ -27,21 +29,40 @@
 	recoverShare = 0.95
 )
 
-// check returns the promises that were broken.
-func check(h *history) []string {
+// The promises.
+const (
+	promiseOnce      = "unsafe requests run at most once"
+	promiseRefusals  = "what is refused did not run"
+	promiseWhole     = "successes are whole and the request's own"
+	promiseOlder     = "no configuration older than one seen"
+	promiseApplied   = "a configuration is in force in time"
+	promiseDrained   = "no work for leaving targets after the bound"
+	promiseBudget    = "retries stay within the budget"
+	promiseAttempts  = "no more targets than the route allows"
+	promisePlanned   = "planned work cuts nothing"
+	promiseRecovered = "service is back after the last fault"
+)
+
+// breach is a promise that was broken, with the request that shows it, if one does.
+type breach struct{ promise, text, request string }
+
+func (b breach) String() string { return b.promise + ": " + b.text }
+
+// check returns the promises that were broken up to now.
+func check(h *history) []breach {
 	return slices.Concat(
 		checkOnce(h), checkRefusals(h), checkWhole(h), checkOlder(h), checkApplied(h), checkDrained(h),
-		checkBudget(h), checkRecovered(h))
+		checkBudget(h), checkAttempts(h), checkPlanned(h))
 }
 
 // checkOnce reports requests of the unsafe route that ran twice.
-func checkOnce(h *history) []string {
-	var broken []string
+func checkOnce(h *history) []breach {
+	var broken []breach
 	first := make(map[string]backend.Run)
 	for _, r := range h.runs {
 		other, again := first[r.Request]
 		if again && r.Path == "/book/x" {
-			broken = append(broken, fmt.Sprintf("%s ran on %s and again on %s", r.Request, other.Target, r.Target))
+			broken = append(broken, breach{promiseOnce, fmt.Sprintf("%s ran on %s and again on %s", r.Request, other.Target, r.Target), r.Request})
 		}
 		first[r.Request] = r
 	}
@@ -50,8 +71,8 @@
 
 // checkRefusals reports requests of the unsafe route that were said not to have
 // run and did.
-func checkRefusals(h *history) []string {
-	var broken []string
+func checkRefusals(h *history) []breach {
+	var broken []breach
 	ran := make(map[string]bool)
 	for _, r := range h.runs {
 		ran[r.Request] = true
@@ -59,25 +80,25 @@
 	for _, c := range h.calls {
 		refused := c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
 		if c.route == "book" && refused && ran[c.id] {
-			broken = append(broken, fmt.Sprintf("%s was answered %d and ran", c.id, c.status))
+			broken = append(broken, breach{promiseRefusals, fmt.Sprintf("%s was answered %d and ran", c.id, c.status), c.id})
 		}
 	}
 	return broken
 }
 
 // checkWhole reports successes that are not the whole answer to their request.
-func checkWhole(h *history) []string {
-	var broken []string
+func checkWhole(h *history) []breach {
+	var broken []breach
 	for _, c := range h.calls {
 		if c.status == http.StatusOK && !c.whole {
-			broken = append(broken, fmt.Sprintf("%s got another answer than its own", c.id))
+			broken = append(broken, breach{promiseWhole, fmt.Sprintf("%s got another answer than its own", c.id), c.id})
 		}
 	}
 	return broken
 }
 
 // checkOlder reports nodes that went back to an older configuration in one life.
-func checkOlder(h *history) []string {
+func checkOlder(h *history) []breach {
 	type life struct {
 		node string
 		life int
@@ -87,7 +108,7 @@
 		at      time.Time
 	}
 	newest := make(map[life]sight)
-	var broken []string
+	var broken []breach
 	calls := slices.Clone(h.calls)
 	slices.SortFunc(calls, func(a, b call) int { return a.ended.Compare(b.ended) })
 	for _, c := range calls {
@@ -96,9 +117,9 @@
 		switch {
 		case c.version == 0:
 		case c.status == http.StatusOK && c.version < seen.version && c.sent.After(seen.at.Add(olderSlack)):
-			broken = append(broken, fmt.Sprintf("%s served %s by version %d after version %d", c.node, c.id, c.version, seen.version))
+			broken = append(broken, breach{promiseOlder, fmt.Sprintf("%s served %s by version %d after version %d", c.node, c.id, c.version, seen.version), c.id})
 		case c.status == http.StatusNotFound && c.version == seen.version && c.version == len(h.versions) && c.sent.After(seen.at.Add(olderSlack)):
-			broken = append(broken, fmt.Sprintf("%s no longer knows version %d (%s)", c.node, c.version, c.id))
+			broken = append(broken, breach{promiseOlder, fmt.Sprintf("%s no longer knows version %d (%s)", c.node, c.version, c.id), c.id})
 		case c.status == http.StatusOK && c.version > seen.version:
 			newest[key] = sight{c.version, c.ended}
 		}
@@ -108,8 +129,8 @@
 
 // checkApplied reports nodes that did not know a version in time, while nothing
 // was disturbed.
-func checkApplied(h *history) []string {
-	var broken []string
+func checkApplied(h *history) []breach {
+	var broken []breach
 	for _, c := range h.calls {
 		if c.version == 0 || c.status != http.StatusNotFound {
 			continue
@@ -118,22 +139,22 @@
 		superseded := c.version < len(h.versions) && h.versions[c.version].Before(c.ended)
 		late := c.sent.After(acknowledged.Add(applyBound))
 		if late && !superseded && !h.disturbedWithin(c.sent.Add(-contactTime), c.sent) {
-			broken = append(broken, fmt.Sprintf("%s did not know version %d %s after it was acknowledged (%s)",
-				c.node, c.version, c.sent.Sub(acknowledged).Round(time.Millisecond), c.id))
+			broken = append(broken, breach{promiseApplied, fmt.Sprintf("%s did not know version %d %s after it was acknowledged (%s)",
+				c.node, c.version, c.sent.Sub(acknowledged).Round(time.Millisecond), c.id), c.id})
 		}
 	}
 	return broken
 }
 
 // checkDrained reports work on targets that had reported that they leave.
-func checkDrained(h *history) []string {
-	var broken []string
+func checkDrained(h *history) []breach {
+	var broken []breach
 	for _, l := range h.leaves {
 		for _, a := range h.arrivals {
 			late := a.Target == l.what && a.At.After(l.at.Add(drainBound))
 			if late && !h.disturbedWithin(a.At.Add(-contactTime), a.At) {
-				broken = append(broken, fmt.Sprintf("%s reached %s %s after that reported to leave",
-					a.Request, a.Target, a.At.Sub(l.at).Round(time.Millisecond)))
+				broken = append(broken, breach{promiseDrained, fmt.Sprintf("%s reached %s %s after that reported to leave",
+					a.Request, a.Target, a.At.Sub(l.at).Round(time.Millisecond)), a.Request})
 			}
 		}
 	}
@@ -141,8 +162,8 @@
 }
 
 // checkBudget reports windows with more repeated arrivals than the fleet may send.
-func checkBudget(h *history) []string {
-	var broken []string
+func checkBudget(h *history) []breach {
+	var broken []breach
 	for _, service := range services {
 		var firsts, repeats []time.Time
 		seen := make(map[string]bool)
@@ -162,7 +183,7 @@
 			n := within(repeats, start, budgetTime)
 			allowed := budgetRatio*float64(max(within(firsts, start, budgetTime), within(firsts, start.Add(-budgetTime), budgetTime))) + budgetExtra
 			if float64(n) > allowed {
-				broken = append(broken, fmt.Sprintf("service %s: %d repeated arrivals in %s, %.0f allowed", service, n, budgetTime, allowed))
+				broken = append(broken, breach{promiseBudget, fmt.Sprintf("service %s: %d repeated arrivals in %s, %.0f allowed", service, n, budgetTime, allowed), ""})
 				break
 			}
 		}
@@ -181,8 +202,38 @@
 	return n
 }
 
+// checkAttempts reports requests that reached more targets than their route allows.
+func checkAttempts(h *history) []breach {
+	var broken []breach
+	targets := make(map[string]map[string]bool)
+	for _, a := range h.arrivals {
+		if targets[a.Request] == nil {
+			targets[a.Request] = make(map[string]bool)
+		}
+		targets[a.Request][a.Target] = true
+	}
+	for request, reached := range targets {
+		if len(reached) > routeAttempts {
+			broken = append(broken, breach{promiseAttempts, fmt.Sprintf("%s reached %d targets, %d allowed", request, len(reached), routeAttempts), request})
+		}
+	}
+	return broken
+}
+
+// checkPlanned reports requests that were lost beside planned work only.
+func checkPlanned(h *history) []breach {
+	var broken []breach
+	for _, c := range h.calls {
+		lost := c.status == 0 || c.status == http.StatusBadGateway || c.status == http.StatusGatewayTimeout
+		if lost && !h.unplannedWithin(c.sent.Add(-contactTime), c.ended) {
+			broken = append(broken, breach{promisePlanned, fmt.Sprintf("%s sent to %s ended with status %d", c.id, c.node, c.status), c.id})
+		}
+	}
+	return broken
+}
+
 // checkRecovered reports a fleet that does not serve again after the last fault.
-func checkRecovered(h *history) []string {
+func checkRecovered(h *history) []breach {
 	served, all := 0, 0
 	for _, c := range h.calls {
 		if c.version > 0 || c.sent.Before(h.calm.Add(recoverTime)) {
@@ -194,7 +245,7 @@
 		}
 	}
 	if all == 0 || float64(served) < recoverShare*float64(all) {
-		return []string{fmt.Sprintf("%d of %d requests served after the last fault", served, all)}
+		return []breach{{promiseRecovered, fmt.Sprintf("%d of %d requests served after the last fault", served, all), ""}}
 	}
 	return nil
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -13,6 +13,8 @@
 
 var began = time.Unix(1_700_000_000, 0)
 
+func everything(h *history) []breach { return append(check(h), checkRecovered(h)...) }
+
 func at(s float64) time.Time { return began.Add(time.Duration(s * float64(time.Second))) }
 
 // TestCheckersBite breaks each promise once and lets every other stand.
@@ -28,7 +30,7 @@
 		}
 		return h
 	}
-	qt.Assert(t, check(sound()), qt.HasLen, 0)
+	qt.Assert(t, everything(sound()), qt.HasLen, 0)
 
 	cases := map[string]struct {
 		spoil func(*history)
@@ -50,9 +52,19 @@
 				h.arrivals = append(h.arrivals, h.arrivals[8])
 			}
 		}, `service book: 61 repeated arrivals in 10s, 5[0-9] allowed`},
+		"too many targets": {func(h *history) {
+			for _, target := range []string{"u", "v", "w"} {
+				h.arrivals = append(h.arrivals, backend.Arrival{Request: "oki", Service: "book", Target: target, At: at(8)})
+			}
+		}, `oki reached 4 targets, 3 allowed`},
+		"cut by planned work": {func(h *history) {
+			h.disturbed(stopNode, at(11))
+			h.calls[12].status = 0
+		}, `okm sent to n ended with status 0`},
 		"no recovery": {func(h *history) {
 			for i := 20; i < 30; i++ {
 				h.calls[i].status = 0
+				h.disturbed(killNode, at(float64(i)-1))
 			}
 		}, `30 of 40 requests served after the last fault`},
 	}
@@ -60,16 +72,24 @@
 		t.Run(name, func(t *testing.T) {
 			h := sound()
 			tc.spoil(h)
-			broken := check(h)
+			broken := everything(h)
 			qt.Assert(t, broken, qt.HasLen, 1)
-			qt.Check(t, broken[0], qt.Matches, tc.want)
+			qt.Check(t, broken[0].text, qt.Matches, tc.want)
 		})
 	}
 }
 
 // TestScheduleRepeats draws the same schedule for the same seed.
 func TestScheduleRepeats(t *testing.T) {
-	draw := func(seed uint64) []step { return newSchedule(rand.New(rand.NewPCG(seed, 0)), 20*time.Second, 6) }
+	draw := func(seed uint64) []step { return newSchedule(rand.New(rand.NewPCG(seed, 0)), 20*time.Second, 6, kinds) }
 	qt.Check(t, slices.Equal(draw(7), draw(7)), qt.IsTrue)
 	qt.Check(t, len(draw(7)) > 5, qt.IsTrue)
 }
+
+// TestMutantsFit has each fault to be built in fit the sources as they are.
+func TestMutantsFit(t *testing.T) {
+	for _, m := range mutants {
+		_, err := m.overlay("..", t.TempDir())
+		qt.Check(t, err, qt.IsNil, qt.Commentf(m.name))
+	}
+}
--- a/soak/history.go
+++ b/soak/history.go
@@ -84,6 +84,24 @@
 	return slices.ContainsFunc(h.troubles, func(m moment) bool { return m.at.After(from) && m.at.Before(to) })
 }
 
+// unplannedWithin says whether a fault that is no planned work began or ended
+// between two times.
+func (h *history) unplannedWithin(from, to time.Time) bool {
+	return slices.ContainsFunc(h.troubles, func(m moment) bool {
+		return m.at.After(from) && m.at.Before(to) && !slices.Contains(plannedKinds, kind(m.what))
+	})
+}
+
+// sofar returns a copy with what the targets have seen.
+func (h *history) sofar(ledger *backend.Ledger) *history {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &history{
+		calls: slices.Clone(h.calls), versions: slices.Clone(h.versions), leaves: slices.Clone(h.leaves),
+		troubles: slices.Clone(h.troubles), calm: h.calm, runs: ledger.Runs(), arrivals: ledger.Arrivals(),
+	}
+}
+
 func (h *history) summary() string {
 	counts := make(map[int]int)
 	for _, c := range h.calls {
--- a/soak/main.go
+++ b/soak/main.go
@@ -31,6 +31,11 @@
 	For     time.Duration `arg:"--for" default:"20s" help:"length of the faults of one run"`
 	Nodes   int           `arg:"--nodes" default:"6" help:"number of nodes"`
 	Rate    float64       `arg:"--rate" default:"60" help:"requests a second"`
+	Planned bool          `arg:"--planned" help:"planned work only: no request may be lost"`
+	Mutants bool          `arg:"--mutants" help:"build faults into the program on purpose; each must be found within the seeds (5 if not set)"`
+	Plot    string        `arg:"--plot" help:"draw the latest run to this .svg or .png file: faults over time against answers by outcome"`
+	// Pause is how long the platform runs before the nodes start.
+	Pause   time.Duration `arg:"-"`
 	Dir     string        `arg:"--dir" help:"where logs of failed runs are kept; default: a new temporary directory"`
 	Program string        `arg:"--program" help:"the filbertmill program; default: built from this tree"`
 }
@@ -55,6 +60,13 @@
 			return err
 		}
 	}
+	if a.Mutants {
+		if a.Seeds == 1 {
+			a.Seeds = mutantSeeds
+		}
+		a.Pause = lagPause
+		return playMutants(ctx, a)
+	}
 	if a.Program == "" {
 		if a.Program, err = process.Build(a.Dir); err != nil {
 			return err
@@ -64,45 +76,60 @@
 		a.Seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
 	for i := range a.Seeds {
-		seed := a.Seed + uint64(i)
-		if err := playSeed(ctx, a, seed); err != nil || ctx.Err() != nil {
+		broken, err := playSeed(ctx, a, a.Seed+uint64(i))
+		if err != nil || ctx.Err() != nil {
 			return err
 		}
+		if len(broken) > 0 {
+			return fmt.Errorf("seed %d broke a promise", a.Seed+uint64(i))
+		}
 	}
 	return nil
 }
 
+// mutantSeeds is the number of seeds within which a fault that was built in must
+// be found.
+const mutantSeeds = 5
+
+// lagPause is longer than reads of the stand-in lag, so that a program that takes
+// them can start.
+const lagPause = 5 * time.Second
+
 // maxReported bounds the broken promises that are printed.
 const maxReported = 20
 
 // playSeed plays one run and reports it.
-func playSeed(ctx context.Context, a arguments, seed uint64) error {
+func playSeed(ctx context.Context, a arguments, seed uint64) ([]breach, error) {
 	dir := filepath.Join(a.Dir, fmt.Sprintf("seed-%d", seed))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return err
+		return nil, err
 	}
 	rng := rand.New(rand.NewPCG(seed, 0))
-	schedule := newSchedule(rng, a.For, a.Nodes)
+	drawn := kinds
+	if a.Planned {
+		drawn = plannedKinds
+	}
+	schedule := newSchedule(rng, a.For, a.Nodes, drawn)
 	w, err := newWorld(ctx, dir, a, rng)
 	if err != nil {
-		return fmt.Errorf("seed %d: %w", seed, err)
+		return nil, fmt.Errorf("seed %d: %w", seed, err)
 	}
-	defer w.close()
-	w.play(ctx, schedule)
-	broken := check(w.history())
+	broken := w.play(ctx, schedule)
+	w.close()
 	fmt.Printf("seed %d: %s; %d faults\n", seed, w.summary(), len(schedule))
-	if len(broken) == 0 {
-		return os.RemoveAll(dir)
-	}
-	for _, s := range schedule {
-		fmt.Println("  ", s)
+	if a.Plot != "" {
+		if err := writePlot(a.Plot, w.sofar(), schedule, w.start); err != nil {
+			return nil, err
+		}
 	}
-	for _, b := range broken[:min(len(broken), maxReported)] {
-		fmt.Println("broken:", b)
+	if len(broken) == 0 {
+		return nil, os.RemoveAll(dir)
 	}
-	if more := len(broken) - maxReported; more > 0 {
-		fmt.Println("broken:", more, "more")
+	report(broken, schedule, dir)
+	fmt.Printf("logs are in %s; again: go run ./soak --seed %d --for %s --nodes %d --rate %g", dir, seed, a.For, a.Nodes, a.Rate)
+	if a.Planned {
+		fmt.Print(" --planned")
 	}
-	return fmt.Errorf("seed %d broke a promise; logs are in %s; again: go run ./soak --seed %d --for %s --nodes %d --rate %g",
-		seed, dir, seed, a.For, a.Nodes, a.Rate)
+	fmt.Println()
+	return broken, nil
 }
--- /dev/null
+++ b/soak/mutants.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"filbertmill.example/testbed/process"
+)
+
+// mutant is a fault built into the program on purpose, to show that the checks
+// find it.
+type mutant struct {
+	name string
+	// promise is the check that has to find it.
+	promise string
+	edits   []edit
+}
+
+// edit replaces a text that occurs once in a source file of the product.
+type edit struct{ file, from, to string }
+
+var mutants = []mutant{
+	{
+		name: "an unsafe request is sent again after a reset", promise: promiseOnce,
+		edits: []edit{{"gateway/flight.go", "case !e.notRun && !f.r.idempotent:", "case false:"}},
+	},
+	{
+		name: "a request that ran is refused", promise: promiseRefusals,
+		edits: []edit{{
+			"gateway/attempt.go", "result:  result{outcome: outcome.New(attempt.Reason(f), f.Error(), 0)},",
+			"result:  result{outcome: outcome.New(outcome.ReasonUnreachable, f.Error(), 0)},",
+		}, {"gateway/flight.go", "if f.sent && f.last.outcome.Kind == outcome.NotRun {", "if false {"}},
+	},
+	{
+		name: "the configuration is taken from a read that lags", promise: promiseApplied,
+		edits: []edit{
+			{
+				"platform/client.go", `q := url.Values{"prefix": {prefix}}`,
+				`q := url.Values{"prefix": {prefix}}` + "\n\tif prefix == \"\" {\n\t\tq.Set(\"serializable\", \"1\")\n\t}",
+			},
+			{
+				"platform/client.go", "first = p.Revision",
+				"first = p.Revision\n\t\t\tif now, err := c.Range(ctx, \"~\", \"\"); err == nil {\n\t\t\t\tfirst = now.Revision\n\t\t\t}",
+			},
+		},
+	},
+}
+
+// apply returns the file's text with the edit.
+func (e edit) apply(root string) (string, error) {
+	text, err := os.ReadFile(filepath.Join(root, e.file))
+	if err != nil {
+		return "", err
+	}
+	if n := strings.Count(string(text), e.from); n != 1 {
+		return "", fmt.Errorf("%s: the text to replace occurs %d times: %s", e.file, n, e.from)
+	}
+	return strings.Replace(string(text), e.from, e.to, 1), nil
+}
+
+// overlay writes the changed sources to dir and returns the file that tells the
+// compiler to use them in place of those under root.
+func (m mutant) overlay(root, dir string) (string, error) {
+	replace := make(map[string]string)
+	for i, e := range m.edits {
+		source := filepath.Join(root, e.file)
+		text, err := e.apply(root)
+		if earlier := replace[source]; earlier != "" {
+			text, err = edit{filepath.Base(earlier), e.from, e.to}.apply(dir)
+		}
+		if err != nil {
+			return "", err
+		}
+		replace[source] = filepath.Join(dir, fmt.Sprintf("%d.go", i))
+		if err := os.WriteFile(replace[source], []byte(text), 0o600); err != nil {
+			return "", err
+		}
+	}
+	list, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(dir, "overlay.json")
+	return file, os.WriteFile(file, list, 0o600)
+}
+
+// playMutants builds each faulty program and plays seeds until its promise is
+// found broken.
+func playMutants(ctx context.Context, a arguments) error {
+	root, err := os.Getwd()
+	if err != nil {
+		return err
+	}
+	var missed []error
+	for i, m := range mutants {
+		dir := filepath.Join(a.Dir, fmt.Sprintf("mutant-%d", i))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		overlay, err := m.overlay(root, dir)
+		if err != nil {
+			return err
+		}
+		if a.Program, err = process.Build(dir, "-overlay", overlay); err != nil {
+			return err
+		}
+		if err := m.find(ctx, a); err != nil {
+			missed = append(missed, err)
+		}
+	}
+	return errors.Join(missed...)
+}
+
+// find plays seeds until the mutant is found.
+func (m mutant) find(ctx context.Context, a arguments) error {
+	for i := range a.Seeds {
+		seed := a.Seed + uint64(i)
+		broken, err := playSeed(ctx, a, seed)
+		if err != nil || ctx.Err() != nil {
+			return err
+		}
+		for _, b := range broken {
+			if b.promise == m.promise {
+				fmt.Printf("found with seed %d: %s\n", seed, m.name)
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("not found in %d seeds: %s", a.Seeds, m.name)
+}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -45,6 +45,9 @@
 	targetCut, targetOneWay, targetLeaves, targetCrashes, configure, configure, configure,
 }
 
+// plannedKinds are planned work, which must cost no request.
+var plannedKinds = []kind{stopNode, targetLeaves, configure}
+
 // step is one fault of a run.
 type step struct {
 	at    time.Duration
@@ -66,8 +69,8 @@
 	maxLast = 4 * time.Second
 )
 
-// newSchedule draws the steps of a run.
-func newSchedule(rng *rand.Rand, length time.Duration, nodes int) []step {
+// newSchedule draws the steps of a run from the given kinds.
+func newSchedule(rng *rand.Rand, length time.Duration, nodes int, kinds []kind) []step {
 	var list []step
 	for at := time.Second; at < length; at += time.Duration(rng.ExpFloat64() * float64(meanGap)) {
 		list = append(list, step{
--- a/soak/world.go
+++ b/soak/world.go
@@ -26,6 +26,8 @@
 	backendWork  = 20 * time.Millisecond
 	// settleTime is how long a run goes on after its last fault has ended.
 	settleTime = 16 * time.Second
+	// watchInterval is the time between two checks of the promises during a run.
+	watchInterval = 2 * time.Second
 	// readBackInterval is the time between two looks whether a write was done.
 	readBackInterval = 50 * time.Millisecond
 	// restartDelay is how long a node that ended stays away.
@@ -94,6 +96,7 @@
 	if err := w.configure(ctx); err != nil {
 		return nil, err
 	}
+	sleep(ctx, a.Pause)
 	specs, err := process.NewGateways(a.Nodes, zones, "")
 	if err != nil {
 		return nil, err
@@ -166,7 +169,7 @@
 	next := w.version + 1
 	route := func(name, kind, service string) string {
 		return fmt.Sprintf(`{"name":%[1]q,"kind":%[2]q,"slo-s":0.5,"priority":1,"match":{"prefix":"/%[1]s/"},
-			"action":{"service":%[3]q,"timeout-s":1.5,"attempts":3}}`, name, kind, service)
+			"action":{"service":%[3]q,"timeout-s":1.5,"attempts":%[4]d}}`, name, kind, service, routeAttempts)
 	}
 	routes := []string{route("look", "safe", "look"), route("book", "unsafe", "book"), route(versionRoute(next), "safe", "look")}
 	text := fmt.Sprintf(`{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,
@@ -197,8 +200,37 @@
 
 func versionRoute(version int) string { return fmt.Sprintf("v%d", version) }
 
-// play runs callers and faults until all has settled.
-func (w *world) play(ctx context.Context, schedule []step) {
+// play runs callers and faults until all has settled, or a promise is broken,
+// and returns what was broken.
+func (w *world) play(ctx context.Context, schedule []step) []breach {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	found := make(chan []breach, 1)
+	go func() {
+		found <- w.watch(ctx)
+		cancel()
+	}()
+	w.run(ctx, schedule)
+	if ctx.Err() != nil {
+		return <-found
+	}
+	h := w.sofar()
+	return append(check(h), checkRecovered(h)...)
+}
+
+// watch checks the promises until one is broken or the context ends.
+func (w *world) watch(ctx context.Context) []breach {
+	for ctx.Err() == nil {
+		sleep(ctx, watchInterval)
+		if broken := check(w.sofar()); len(broken) > 0 {
+			return broken
+		}
+	}
+	return nil
+}
+
+// run runs callers and faults until all has settled or the context ends.
+func (w *world) run(ctx context.Context, schedule []step) {
 	callers, stop := context.WithCancel(ctx)
 	w.clients.Go(func() { w.callAll(callers) })
 	var faults sync.WaitGroup
@@ -213,12 +245,8 @@
 	w.clients.Wait()
 }
 
-// history returns what was seen, with what the targets ran.
-func (w *world) history() *history {
-	w.record.runs = w.ledger.Runs()
-	w.record.arrivals = w.ledger.Arrivals()
-	return &w.record
-}
+// sofar returns what was seen until now, with what the targets ran.
+func (w *world) sofar() *history { return w.record.sofar(w.ledger) }
 
 func (w *world) summary() string { return w.record.summary() }
 
--- a/testbed/memory/prefix.go
+++ b/testbed/memory/prefix.go
@@ -15,15 +15,22 @@
 
 // Range returns the keys with a prefix that follow after, at most a page.
 func (s *Store) Range(ctx context.Context, prefix, after string) (platform.Page, error) {
+	return s.RangeBefore(ctx, prefix, after, 0)
+}
+
+// RangeBefore is Range on the content as it was a time ago. The revision is the
+// present one.
+func (s *Store) RangeBefore(ctx context.Context, prefix, after string, age time.Duration) (platform.Page, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Range++ }); err != nil {
 		return platform.Page{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.expire(time.Now())
+	now := time.Now()
+	s.expire(now)
 	p := platform.Page{Revision: s.revision}
 	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
-		v := s.latest(key)
+		v := s.before(key, now.Add(-age))
 		if !strings.HasPrefix(key, prefix) || key <= after || v.revision == 0 {
 			continue
 		}
--- a/testbed/memory/store.go
+++ b/testbed/memory/store.go
@@ -271,12 +271,30 @@
 	s.expire(now)
 	versions := s.keys[key]
 	seen := now.Add(-s.faults.Lag)
+	i := indexBefore(versions, seen)
+	if i < 0 {
+		return platform.Entry{Key: key}, untilNext(versions, i, seen)
+	}
+	return entry(key, versions[i]), untilNext(versions, i, seen)
+}
+
+// before returns the value that a key had at a time.
+func (s *Store) before(key string, at time.Time) version {
+	i := indexBefore(s.keys[key], at)
+	if i < 0 {
+		return version{}
+	}
+	return s.keys[key][i]
+}
+
+// indexBefore returns the index of the latest version at a time, or -1.
+func indexBefore(versions []version, at time.Time) int {
 	for i := len(versions) - 1; i >= 0; i-- {
-		if !versions[i].at.After(seen) {
-			return entry(key, versions[i]), untilNext(versions, i, seen)
+		if !versions[i].at.After(at) {
+			return i
 		}
 	}
-	return platform.Entry{Key: key}, untilNext(versions, -1, seen)
+	return -1
 }
 
 func untilNext(versions []version, i int, seen time.Time) time.Duration {
--- a/testbed/process/process.go
+++ b/testbed/process/process.go
@@ -27,9 +27,11 @@
 )
 
 // Build compiles the command into dir and returns the program's path.
-func Build(dir string) (string, error) {
+// Further flags go to the compiler.
+func Build(dir string, flags ...string) (string, error) {
 	bin := filepath.Join(dir, "filbertmill")
-	out, err := exec.Command("go", "build", "-o", bin, "filbertmill.example/filbertmill/cmd/filbertmill").CombinedOutput()
+	args := append([]string{"build", "-o", bin}, flags...)
+	out, err := exec.Command("go", append(args, "filbertmill.example/filbertmill/cmd/filbertmill")...).CombinedOutput()
 	if err != nil {
 		return "", errors.Wrapf(err, "build: %s", out)
 	}
--- a/testbed/standin/protocol.go
+++ b/testbed/standin/protocol.go
@@ -50,13 +50,20 @@
 	}{itemWire{Key: e.Key, Value: e.Value, Rev: e.Revision}, s.Store.Revision()})
 }
 
+// serializableAge is how old a read is that need not be linearizable.
+const serializableAge = 4 * time.Second
+
 func (s *Standin) rangeItems(ctx context.Context, c *app.RequestContext) {
 	prefix := c.Query("prefix")
 	if strings.HasPrefix(prefix, platform.HostPrefix) {
 		s.hostItems(ctx, c)
 		return
 	}
-	p, err := s.Store.Range(ctx, prefix, c.Query("after"))
+	age := time.Duration(0)
+	if c.Query("serializable") == "1" {
+		age = serializableAge
+	}
+	p, err := s.Store.RangeBefore(ctx, prefix, c.Query("after"), age)
 	if fails(c, err) {
 		return
 	}
