--- a/pool/belief.go
+++ b/pool/belief.go
@@ -13,12 +13,16 @@
 type belief struct {
 	faulty float64
 	at     time.Time
+	// held is until when the belief does not fade: faults rarely end sooner.
+	held time.Time
 }
 
 const (
-	// faultTime and soundTime are the mean times that a target stays faulty and
-	// sound. Shorter ones try faulty targets again sooner and forget success sooner.
-	faultTime = 5 * time.Second
+	// faultHold is how long a target that reset a request stays faulty at least,
+	// faultTime the mean time from then on, and soundTime that of being sound.
+	// Shorter ones try faulty targets again sooner and forget success sooner.
+	faultHold = 4 * time.Second
+	faultTime = 4 * time.Second
 	soundTime = 12 * time.Second
 	// restFaulty is the share of time that a target is faulty by these times.
 	restFaulty = float64(faultTime) / float64(faultTime+soundTime)
@@ -30,22 +34,27 @@
 )
 
 // The likelihood ratios of an attempt's end: how many times likelier it is from
-// a faulty target than from a sound one.
+// a faulty target than from a sound one. Sound targets fail single requests with
+// an error, a hang or a cut answer; what resets one request resets the next.
 const (
-	ratioAnswered    = 0.2
+	ratioAnswered    = 0.35
 	ratioSlow        = 1.0
-	ratioServerError = 25
+	ratioServerError = 4
 	ratioReset       = 100
-	ratioTruncated   = 25
-	ratioTimeout     = 10
+	ratioTruncated   = 4
+	ratioTimeout     = 4
 	ratioUnreachable = 8
 	ratioRefused     = 1.5
 )
 
 // now returns the probability at a time.
 func (b belief) now(now time.Time) float64 {
+	since := b.at
+	if b.held.After(since) {
+		since = b.held
+	}
 	rate := 1/faultTime.Seconds() + 1/soundTime.Seconds()
-	fade := math.Exp(-rate * now.Sub(b.at).Seconds())
+	fade := math.Exp(-rate * max(0, now.Sub(since).Seconds()))
 	return restFaulty + (b.faulty-restFaulty)*fade
 }
 
@@ -55,6 +64,9 @@
 	odds := p / (1 - p) * ratio
 	b.faulty = min(max(odds/(1+odds), beliefMin), beliefMax)
 	b.at = now
+	if ratio >= ratioReset {
+		b.held = now.Add(faultHold)
+	}
 }
 
 // ratioOf returns the likelihood ratio of the end of an attempt that took
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -184,7 +184,7 @@
 	t := s.targets[listed.Name]
 	if t == nil {
 		t = &steeredTarget{
-			state: StateServing, belief: belief{newFaulty, now}, slowness: 1,
+			state: StateServing, belief: belief{faulty: newFaulty, at: now}, slowness: 1,
 			limit: limit{slots: listed.Slots}, running: make(map[RequestID]*steeredAttempt),
 		}
 		if s.adopted {
@@ -367,7 +367,7 @@
 		panic(fmt.Sprintf("pool: target %s: %v", t.Name, err))
 	}
 	if t.state == StateCold {
-		t.belief = belief{newFaulty, now}
+		t.belief = belief{faulty: newFaulty, at: now}
 		t.slowness = coldSlowness
 	}
 	s.delegate.Event(event.Event{
@@ -383,7 +383,7 @@
 // Absolve implements Scheduler.
 func (s *steered) Absolve(now time.Time, name string, _ time.Time) {
 	if t := s.targets[name]; t != nil {
-		t.belief = belief{newFaulty, now}
+		t.belief = belief{faulty: newFaulty, at: now}
 		s.review(now, t)
 		s.dispatch(now)
 	}
--- a/pool/steered_test.go
+++ b/pool/steered_test.go
@@ -65,7 +65,7 @@
 func TestUnsafeWorkWaitsForATrustedTarget(t *testing.T) {
 	s, r := steeredService(2)
 	now := epoch
-	s.targets["b"].belief = belief{0.5, now}
+	s.targets["b"].belief = belief{faulty: 0.6, at: now}
 	for id := RequestID(1); id <= 2; id++ {
 		s.Submit(now, unsafeRequest(id, now))
 		qt.Assert(t, r.started[id], qt.Equals, "a")
@@ -85,13 +85,13 @@
 	now := epoch
 	s.usual["r"] = 140 * time.Millisecond
 	faulty := "b"
-	s.targets[faulty].belief = belief{0.95, now}
+	s.targets[faulty].belief = belief{faulty: 0.95, at: now}
 	s.Submit(now, unsafeRequest(1, now))
 	s.Submit(now, unsafeRequest(2, now))
 	s.Submit(now, unsafeRequest(3, now))
 	for ms := 100; ms < 400; ms += 100 {
 		at := now.Add(time.Duration(ms) * time.Millisecond)
-		s.targets[faulty].belief = belief{0.95, at}
+		s.targets[faulty].belief = belief{faulty: 0.95, at: at}
 		s.Tick(at)
 		qt.Assert(t, r.started[3], qt.Equals, "", qt.Commentf("after %d ms", ms))
 	}
@@ -100,7 +100,7 @@
 }
 
 func TestTargetComesBackByTimeAndByAnswers(t *testing.T) {
-	b := belief{beliefMax, epoch}
+	b := belief{faulty: beliefMax, at: epoch}
 	qt.Check(t, b.now(epoch.Add(time.Second)) > suspicionBelief, qt.IsTrue)
 	qt.Check(t, b.now(epoch.Add(15*time.Second)) < clearBelief, qt.IsTrue)
 	b.observe(epoch.Add(5*time.Second), ratioAnswered)
--- a/soak/world.go
+++ b/soak/world.go
@@ -23,7 +23,7 @@
 	backendsPerService = 5
 	// backendSlots is what each runs at once, backendWork how long a run takes.
 	backendSlots = 3
-	backendWork  = 20 * time.Millisecond
+	backendWork  = 60 * time.Millisecond
 	// settleTime is how long a run goes on after its last fault has ended.
 	settleTime = 16 * time.Second
 	// watchInterval is the time between two checks of the promises during a run.
