--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -54,6 +54,7 @@
 	lastID   pool.RequestID
 	swept    time.Time
 	started  time.Time
+	early    []early
 }
 
 // New returns a Loop; Run makes it work.
@@ -108,7 +109,11 @@
 			s.sweep(now)
 		}
 	}
+	l.expireEarly(now)
 	wait := sweepInterval
+	if len(l.early) > 0 {
+		wait = earlyWait / 4
+	}
 	for _, s := range l.services {
 		wait = min(wait, s.tick(now))
 	}
@@ -132,17 +137,29 @@
 		for _, s := range l.services {
 			s.configure(now)
 		}
+		if l.hasView() {
+			l.submitEarly(now)
+		}
 	})
 }
 
 // Submit asks for a target. The reply, called once, tells of a grant or a refusal.
 func (l *Loop) Submit(a Attempt, reply func(Grant)) {
-	l.send(func(now time.Time) { l.service(a.Service, now).submit(now, a, reply) })
+	l.send(func(now time.Time) {
+		if !l.hasView() {
+			l.early = append(l.early, early{a, now, reply})
+			return
+		}
+		l.service(a.Service, now).submit(now, a, reply)
+	})
 }
 
 // Cancel withdraws an attempt, whether it waits or was granted in the meantime.
 func (l *Loop) Cancel(service string, id ID) {
-	l.send(func(now time.Time) { l.service(service, now).cancel(now, id) })
+	l.send(func(now time.Time) {
+		l.cancelEarly(id)
+		l.service(service, now).cancel(now, id)
+	})
 }
 
 // Finish reports the end of a granted attempt.
