--- a/soak/inject.go
+++ b/soak/inject.go
@@ -37,7 +37,7 @@
 // behaviors are the ways in which targets misbehave.
 var behaviors = map[kind]backend.Behavior{
 	targetResets: {Work: backendWork, ResetShare: 0.8},
-	targetLoses:  {Work: backendWork, LoseShare: 0.5},
+	targetLoses:  {Work: backendWork, LoseShare: 0.8},
 	targetFails:  {Work: backendWork, ErrorShare: 0.7},
 	targetHangs:  {Work: backendWork, HangShare: 0.6},
 	targetFull:   {Work: backendWork, Full: true},
--- a/soak/mutants.go
+++ b/soak/mutants.go
@@ -98,6 +98,7 @@
 	}
 	var missed []error
 	for i, m := range mutants {
+		fmt.Println("built in:", m.name)
 		dir := filepath.Join(a.Dir, fmt.Sprintf("mutant-%d", i))
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return err
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -43,6 +43,8 @@
 	killNode, pauseNode, stopNode, killAll, cutStore, silenceStore, storeAway, storeRefuses, storeSlow, storeForgets,
 	storeDeaf, leasesLapse, repliesLost, targetResets, targetLoses, targetFails, targetHangs, targetFull, targetTwice,
 	targetCut, targetOneWay, targetLeaves, targetCrashes, configure, configure, configure,
+	// What loses most comes twice as often.
+	killAll, targetLoses,
 }
 
 // plannedKinds are planned work, which must cost no request.
@@ -63,7 +65,7 @@
 
 const (
 	// meanGap is the mean time between two steps; they overlap.
-	meanGap = 1200 * time.Millisecond
+	meanGap = 800 * time.Millisecond
 	// minLast and maxLast bound how long a fault lasts.
 	minLast = 500 * time.Millisecond
 	maxLast = 4 * time.Second
