--- a/gateway/follow/follower_test.go
+++ b/gateway/follow/follower_test.go
@@ -31,9 +31,20 @@
 	s, err := standin.Start("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = s.Close() })
+	put(t, platform.NewClient(strings.TrimPrefix(s.URL(), "http://"), nil), 1)
+	client, members := startMembersAt(t, s, n)
+	for _, m := range members {
+		await(t, "all have registered", 5*time.Second, func() bool { return len(m.replica.View().Nodes) == n })
+		await(t, "two relays", 5*time.Second, func() bool { return len(m.follower.Relays()) == 2 })
+	}
+	return s, client, members
+}
+
+// startMembersAt runs followers in two zones before a store that runs already.
+func startMembersAt(t *testing.T, s *standin.Standin, n int) (*platform.Client, []*member) {
+	t.Helper()
 	address := strings.TrimPrefix(s.URL(), "http://")
 	client := platform.NewClient(address, nil)
-	put(t, client, 1)
 	var listeners []net.Listener
 	var seeds []string
 	for range n {
@@ -63,11 +74,7 @@
 		go m.follower.Run(ctx)
 		members = append(members, m)
 	}
-	for _, m := range members {
-		await(t, "all have registered", 5*time.Second, func() bool { return len(m.replica.View().Nodes) == n })
-		await(t, "two relays", 5*time.Second, func() bool { return len(m.follower.Relays()) == 2 })
-	}
-	return s, client, members
+	return client, members
 }
 
 func put(t *testing.T, c *platform.Client, version int) {
@@ -154,3 +161,66 @@
 	put(t, client, 2)
 	awaitVersion(t, members, 2, bound+retryMax)
 }
+
+// churn changes a key until the test ends, faster than changes are collected.
+func churn(t *testing.T, c *platform.Client) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			_, _ = c.Txn(ctx, nil, []platform.Put{{Key: "servers/i-churn", Value: fmt.Appendf(nil, "%d", i)}})
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+}
+
+// TestStartAmongManyChangesCostsFewCalls starts a fleet while targets report
+// often: nodes that are no relays leave the store to them at once.
+func TestStartAmongManyChangesCostsFewCalls(t *testing.T) {
+	const nodes, relays, perNode = 12, 2, 10
+	s, client, members := startMembers(t, nodes)
+	churn(t, client)
+	time.Sleep(relayTime + time.Second)
+	for _, m := range members[2:] {
+		m.stop()
+	}
+	watches := s.Store.Calls().Watch
+	time.Sleep(time.Second)
+	calls := s.Store.Calls().Watch - watches
+	// Each relay hears of changes ten times a second at most.
+	qt.Check(t, calls <= relays*(int64(time.Second/batchTime)+2), qt.IsTrue, qt.Commentf("%d watches in 1 s by %d relays", calls, relays))
+	start := s.Store.Calls().Total()
+	_, again := startMembersAt(t, s, nodes-2)
+	await(t, "all know the content", 3*time.Second, func() bool {
+		for _, m := range again {
+			if m.replica.View().Config == nil {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Second)
+	writes := int64(150) // of the churn, in 1.5 s
+	calls = s.Store.Calls().Total() - start - writes
+	qt.Check(t, calls <= nodes*perNode, qt.IsTrue, qt.Commentf("%d calls by %d nodes", calls, nodes))
+}
+
+// TestOutageCostsFewCalls has the store refuse all: nodes beside relays ask it
+// less than once a second, and know a change soon after it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	const outage = 6 * time.Second
+	s, client, members := startMembers(t, 8)
+	time.Sleep(relayTime + time.Second)
+	s.Store.SetFaults(memory.Faults{Refuse: true})
+	time.Sleep(freshAge)
+	before := s.Store.Calls().Total()
+	time.Sleep(outage)
+	calls := s.Store.Calls().Total() - before
+	// Two relays may ask each second, six nodes half as often.
+	allowed := int64(outage/time.Second) * (2*2 + 6)
+	qt.Check(t, calls <= allowed, qt.IsTrue, qt.Commentf("%d calls in %s, %d allowed", calls, outage, allowed))
+	s.Store.SetFaults(memory.Faults{})
+	put(t, client, 2)
+	awaitVersion(t, members, 2, asideMax)
+}
