soak: no process is left behind

Overlapping restarts of a node each started a process, of which one was lost from sight; a run that failed to start closed nothing. 21 were found running.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -7,6 +7,7 @@
 	"filbertmill.example/testbed/backend"
 	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/memory"
+	"filbertmill.example/testbed/process"
 )
 
 // inject plays one step and ends it.
@@ -134,7 +135,7 @@
 func (w *world) disturbNode(ctx context.Context, s step) {
 	if s.kind == killAll {
 		for _, n := range w.nodes {
-			go w.restart(ctx, n, func(n *node) { n.process.Kill() })
+			go w.restart(ctx, n, kill)
 		}
 		sleep(ctx, s.lasts)
 		return
@@ -142,27 +143,32 @@
 	n := w.nodes[s.index%len(w.nodes)]
 	switch s.kind {
 	case killNode:
-		w.restart(ctx, n, func(n *node) { n.process.Kill() })
+		w.restart(ctx, n, kill)
 	case stopNode:
-		w.restart(ctx, n, func(n *node) {
-			_ = n.process.Terminate()
-			_ = n.process.Wait()
-		})
+		w.restart(ctx, n, stop)
 	case pauseNode:
-		n.mu.Lock()
-		p := n.process
-		n.mu.Unlock()
+		p := n.running()
 		_ = p.Pause()
 		sleep(ctx, s.lasts)
 		_ = p.Resume()
 	}
 }
 
-// restart ends a node and starts it again.
-func (w *world) restart(ctx context.Context, n *node, end func(*node)) {
-	end(n)
+// restart ends a node and starts it again. Faults overlap: each one finds the
+// process that the one before has started.
+func (w *world) restart(ctx context.Context, n *node, end func(*process.Node)) {
+	n.turn.Lock()
+	defer n.turn.Unlock()
+	end(n.running())
 	sleep(ctx, restartDelay)
 	if ctx.Err() == nil {
 		_ = w.startNode(n)
 	}
 }
+
+func kill(p *process.Node) { p.Kill() }
+
+func stop(p *process.Node) {
+	_ = p.Terminate()
+	_ = p.Wait()
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -44,12 +44,22 @@
 	spec  process.Gateway
 	store *faultproxy.Proxy
 
+	// turn is held while the node is ended and started again.
+	turn sync.Mutex
+
 	mu      sync.Mutex
 	process *process.Node
 	// life counts the processes that ran.
 	life int
 }
 
+// running returns the node's latest process, or nil if none was started.
+func (n *node) running() *process.Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
 // target is one backend with the proxy in front of it.
 type target struct {
 	*backend.Backend
@@ -70,6 +80,7 @@
 	clients  sync.WaitGroup
 
 	mu      sync.Mutex
+	closed  bool
 	rng     *rand.Rand
 	targets []*target
 	version int
@@ -78,41 +89,50 @@
 
 // newWorld starts the platform, the targets and the nodes.
 func newWorld(ctx context.Context, dir string, a arguments, rng *rand.Rand) (*world, error) {
-	w := &world{dir: dir, program: a.Program, rate: a.Rate, ledger: &backend.Ledger{}, rng: rng, start: time.Now()}
+	w := &world{dir: dir, program: a.Program, rate: a.Rate, ledger: &backend.Ledger{}, rng: rng}
+	if err := w.begin(ctx, a); err != nil {
+		w.close()
+		return nil, err
+	}
+	w.start = time.Now()
+	return w, nil
+}
+
+// begin starts everything; what was started before an error is left to close.
+func (w *world) begin(ctx context.Context, a arguments) error {
 	var err error
 	if w.platform, err = standin.Start("127.0.0.1:0"); err != nil {
-		return nil, err
+		return err
 	}
 	if w.store, err = platform.NewClientFor(w.platform.URL()); err != nil {
-		return nil, err
+		return err
 	}
 	for i := range backendsPerService {
 		for _, s := range services {
 			if err := w.addTarget(fmt.Sprintf("i-%s-%d", s, i), s, zones[i%len(zones)]); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
 	if err := w.configure(ctx); err != nil {
-		return nil, err
+		return err
 	}
 	sleep(ctx, a.Pause)
 	specs, err := process.NewGateways(a.Nodes, zones, "")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for _, spec := range specs {
 		if err := w.addNode(spec); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	for _, n := range w.nodes {
 		if err := n.process.Ready(ctx); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	w.start = time.Now()
-	return w, nil
+	return nil
 }
 
 func (w *world) addNode(spec process.Gateway) error {
@@ -126,7 +146,13 @@
 	return w.startNode(n)
 }
 
+// startNode starts a process for a node, unless the run is over.
 func (w *world) startNode(n *node) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return errors.New("the run is over")
+	}
 	p, err := process.StartGateway(w.program, w.dir, n.spec)
 	if err != nil {
 		return err
@@ -252,15 +278,24 @@
 
 // close ends what this run started, by process id.
 func (w *world) close() {
+	w.mu.Lock()
+	w.closed = true
+	targets := w.targets
+	w.mu.Unlock()
 	for _, n := range w.nodes {
-		n.process.Kill()
+		if p := n.running(); p != nil {
+			_ = p.Resume()
+			p.Kill()
+		}
 		n.store.Close()
 	}
-	for _, t := range w.targets {
+	for _, t := range targets {
 		t.Close()
 		t.proxy.Close()
 	}
-	_ = w.platform.Close()
+	if w.platform != nil {
+		_ = w.platform.Close()
+	}
 }
 
 // sleep waits, or returns early when the context ends.
