--- a/pool/belief.go
+++ b/pool/belief.go
@@ -37,7 +37,7 @@
 // a faulty target than from a sound one. Sound targets fail single requests with
 // an error, a hang or a cut answer; what resets one request resets the next.
 const (
-	ratioAnswered    = 0.35
+	ratioAnswered    = 0.2
 	ratioSlow        = 1.0
 	ratioServerError = 4
 	ratioReset       = 100
--- a/pool/steer.go
+++ b/pool/steer.go
@@ -12,7 +12,7 @@
 
 const (
 	// failureShare is the share of its work that a faulty target fails.
-	failureShare = 0.65
+	failureShare = 0.8
 	// lossCost is what the failure of an attempt that may not be repeated costs,
 	// as time; repeatCost is what it costs one that may.
 	lossCost   = 20 * time.Second
@@ -28,13 +28,13 @@
 	avoidRisk = 0.9
 	// lossRisk and repeatRisk are the risks above which an attempt waits for a
 	// better target, as long as it has time, if there is one.
-	lossRisk   = 0.2
-	repeatRisk = 0.45
+	lossRisk   = 0.25
+	repeatRisk = 0.55
 	// patience is the share of the time until its due time for which an attempt
 	// waits for a better target than one that may well be sound, and likelyRisk
 	// the risk above which it is likelier that it is not.
 	patience   = 0.5
-	likelyRisk = 0.4
+	likelyRisk = 0.5
 	// riskFloor is the risk up to which targets count as equally sound.
 	riskFloor = 0.005
 	// At least keptShare of the targets that are likely sound are used within
@@ -42,7 +42,7 @@
 	// moment when a tenth is lost, which comes unforeseen. Likely sound are those
 	// up to keptRisk, for work that may be repeated those up to likelyRisk.
 	keptShare  = 0.9
-	keptRisk   = 0.27
+	keptRisk   = 0.33
 	spreadTime = 1600 * time.Millisecond
 	// spreadLoss is the share of lost requests above which spreadShare of all
 	// targets are used within spreadTime, up to spreadRisk by work that may be
@@ -57,7 +57,7 @@
 	// exploreShare the share of such attempts.
 	idleTime     = time.Second
 	exploreShare = 0.1
-	idleRisk     = 0.27
+	idleRisk     = 0.33
 )
 
 // usable says whether t may get work.
--- a/pool/steered.go
+++ b/pool/steered.go
@@ -102,8 +102,9 @@
 	// list that was known and has not been used yet.
 	used   time.Time
 	joined bool
-	// last is the latest end of an attempt.
-	last lastEnd
+	// last is the latest end of an attempt, and reset when it last reset one.
+	last  lastEnd
+	reset time.Time
 }
 
 // lastEnd is the end of an attempt on a target.
@@ -323,7 +324,13 @@
 		t.slowness += slownessShare * (min(slowness, 2*overdueFactor) - t.slowness)
 		s.learnLatency(a.Route, res.Latency)
 	}
-	t.belief.observe(now, ratioOf(res.Verdict, slowness))
+	if res.Verdict == VerdictReset {
+		t.reset = now
+	}
+	if res.Verdict != VerdictAnswered || !a.started.Before(t.reset) {
+		// An attempt that began before the target failed tells nothing of it since.
+		t.belief.observe(now, ratioOf(res.Verdict, slowness))
+	}
 	s.review(now, t)
 }
 
--- a/pool/steered_test.go
+++ b/pool/steered_test.go
@@ -99,6 +99,33 @@
 	qt.Check(t, r.started[3], qt.Equals, r.started[1])
 }
 
+// TestAnswersFromBeforeAFailureSayNothing has a target that runs several requests
+// turn gray: it resets what comes, and still answers what it had begun.
+func TestAnswersFromBeforeAFailureSayNothing(t *testing.T) {
+	s, r := steeredService(2)
+	now := epoch
+	for id := RequestID(1); id <= 4; id++ {
+		s.Submit(now, unsafeRequest(id, now))
+	}
+	gray := r.started[1]
+	var held []RequestID
+	for id := RequestID(1); id <= 4; id++ {
+		if r.started[id] == gray {
+			held = append(held, id)
+		}
+	}
+	qt.Assert(t, held, qt.HasLen, 2)
+	now = now.Add(20 * time.Millisecond)
+	s.Finish(now, held[0], Result{Verdict: VerdictReset, Latency: 20 * time.Millisecond})
+	believed := s.targets[gray].belief.now(now)
+	now = now.Add(100 * time.Millisecond)
+	s.Finish(now, held[1], Result{Verdict: VerdictAnswered, Latency: 120 * time.Millisecond})
+	qt.Check(t, s.targets[gray].belief.now(now), qt.Equals, believed)
+	now = now.Add(time.Second)
+	s.targets[gray].belief.observe(now, ratioAnswered)
+	qt.Check(t, s.targets[gray].belief.now(now) < believed, qt.IsTrue)
+}
+
 func TestTargetComesBackByTimeAndByAnswers(t *testing.T) {
 	b := belief{faulty: beliefMax, at: epoch}
 	qt.Check(t, b.now(epoch.Add(time.Second)) > suspicionBelief, qt.IsTrue)
