--- a/pool/steer.go
+++ b/pool/steer.go
@@ -1,13 +1,8 @@
 package pool
 
 import (
-	"cmp"
-	"fmt"
 	"slices"
 	"time"
-
-	"filbertmill.example/event"
-	"filbertmill.example/outcome"
 )
 
 const (
@@ -37,21 +32,6 @@
 	likelyRisk = 0.5
 	// riskFloor is the risk up to which targets count as equally sound.
 	riskFloor = 0.005
-	// At least keptShare of the targets that are likely sound are used within
-	// spreadTime: the floor wants 0.7 of the sound ones in use over 2 s at the
-	// moment when a tenth is lost, which comes unforeseen. Likely sound are those
-	// up to keptRisk, for work that may be repeated those up to likelyRisk.
-	keptShare  = 0.9
-	keptRisk   = 0.33
-	spreadTime = 1600 * time.Millisecond
-	// spreadLoss is the share of lost requests above which spreadShare of all
-	// targets are used within spreadTime, up to spreadRisk by work that may be
-	// repeated: a doubtful target may be sound by now.
-	spreadLoss  = 0.07
-	spreadShare = 0.85
-	spreadRisk  = 0.95
-	// spreadReview is how long a share in use, once counted, is taken to hold.
-	spreadReview = 25 * time.Millisecond
 	// idleTime is how long a target may go unused before a repeatable attempt is
 	// sent there to learn about it, if its risk is at most idleRisk, and
 	// exploreShare the share of such attempts.
@@ -163,38 +143,6 @@
 	s.delegate.Start(a.ID, t.Name)
 }
 
-// compare orders the queue: by priority, then those that can still end when they
-// are due before those that cannot, then by the time they are due.
-func (a *steeredAttempt) compare(b *steeredAttempt) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.late, b.late), a.Due.Compare(b.Due))
-}
-
-// enqueue puts a in its place in the queue.
-func (s *steered) enqueue(now time.Time, a *steeredAttempt) {
-	a.late = s.lateness(now, a)
-	i, _ := slices.BinarySearchFunc(s.waiting, a, func(o, a *steeredAttempt) int {
-		// Behind its equals: they came first.
-		return cmp.Or(o.compare(a), -1)
-	})
-	s.waiting = slices.Insert(s.waiting, i, a)
-}
-
-// sortWaiting renews the order of the queue, as some have become late.
-func (s *steered) sortWaiting(now time.Time) {
-	for _, a := range s.waiting {
-		a.late = s.lateness(now, a)
-	}
-	slices.SortStableFunc(s.waiting, func(a, b *steeredAttempt) int { return a.compare(b) })
-}
-
-// lateness is 0 for an attempt that can still end when it is due, else 1.
-func (s *steered) lateness(now time.Time, a *steeredAttempt) int {
-	if now.Add(s.latency(a.Route)).After(a.Due) {
-		return 1
-	}
-	return 0
-}
-
 // riskOf returns the risk of t in this round.
 func (s *steered) riskOf(r *round, t *steeredTarget) float64 {
 	risk, known := r.risks[t]
@@ -286,67 +234,6 @@
 	return !slices.Contains(a.Exclude, t.Name)
 }
 
-// idleOne returns the idle target where a costs least while fewer targets are in
-// use than should be, and nil otherwise.
-func (s *steered) idleOne(r *round, a *steeredAttempt) *steeredTarget {
-	limit := s.spreadLimit(a)
-	if !s.mustSpread(r, a.mayFail(), limit) {
-		return nil
-	}
-	var best *steeredTarget
-	var bestCost time.Duration
-	for _, t := range r.free {
-		if r.now.Sub(t.used) < spreadTime || !a.fits(t) {
-			continue
-		}
-		risk := s.riskFor(r, a, t)
-		if risk > limit {
-			continue
-		}
-		if c := s.cost(a, t, risk); best == nil || c < bestCost {
-			best, bestCost = t, c
-		}
-	}
-	return best
-}
-
-// spreadLimit returns the risk up to which a is given to idle targets.
-func (s *steered) spreadLimit(a *steeredAttempt) float64 {
-	switch {
-	case s.lost > spreadLoss && a.mayFail():
-		return spreadRisk
-	case s.lost > spreadLoss || a.mayFail():
-		return likelyRisk
-	}
-	return keptRisk
-}
-
-// mustSpread says whether fewer targets are in use than should be: of all while
-// much work is lost, else of those up to the limit.
-func (s *steered) mustSpread(r *round, mayFail bool, limit float64) bool {
-	state := s.spread[mayFail]
-	if r.now.Sub(state.counted) < spreadReview {
-		return state.due
-	}
-	share := keptShare
-	if s.lost > spreadLoss {
-		share, limit = spreadShare, 1
-	}
-	likely, used := 0, 0
-	for _, t := range s.order {
-		if !t.usable() || s.riskOf(r, t) > limit {
-			continue
-		}
-		likely++
-		if r.now.Sub(t.used) < spreadTime {
-			used++
-		}
-	}
-	state = spreadState{counted: r.now, due: float64(used) < share*float64(likely)}
-	s.spread[mayFail] = state
-	return state.due
-}
-
 // cost returns the expected cost of running a on t, as time.
 func (s *steered) cost(a *steeredAttempt, t *steeredTarget, risk float64) time.Duration {
 	usual := float64(s.latency(a.Route))
@@ -368,62 +255,3 @@
 	}
 	return time.Duration(c)
 }
-
-// expire refuses waiting attempts that cannot end in time any more.
-func (s *steered) expire(now time.Time) {
-	s.refuseWaiting(now, func(a *steeredAttempt) bool {
-		return now.Add(s.latency(a.Route) / 2).After(a.Deadline)
-	})
-}
-
-// refuseHopeless refuses late attempts that would not start in time behind the
-// work that goes first: what waits before them, and what comes meanwhile.
-func (s *steered) refuseHopeless(now time.Time) {
-	var ahead time.Duration
-	slots, left := s.queueSlots(now)
-	s.refuseWaiting(now, func(a *steeredAttempt) bool {
-		wait := time.Duration(float64(ahead) / slots / left)
-		usual := s.latency(a.Route)
-		if a.late == 1 && now.Add(wait+usual/2).After(a.Deadline) {
-			return true
-		}
-		ahead += usual
-		return false
-	})
-}
-
-// refuseWaiting refuses the waiting attempts that are hopeless.
-func (s *steered) refuseWaiting(now time.Time, hopeless func(*steeredAttempt) bool) {
-	kept := s.waiting[:0]
-	var refused []*steeredAttempt
-	for _, a := range s.waiting {
-		if hopeless(a) {
-			refused = append(refused, a)
-		} else {
-			kept = append(kept, a)
-		}
-	}
-	clear(s.waiting[len(kept):])
-	s.waiting = kept
-	for _, a := range refused {
-		s.refuse(now, a, Refusal{Reason: outcome.ReasonTooLate, RetryAfter: s.drainTime(a)})
-	}
-}
-
-// before says how many targets had the request of a, for those who read a refusal.
-func (a *steeredAttempt) before() string {
-	if len(a.Exclude) == 0 {
-		return ""
-	}
-	return fmt.Sprintf("this was a further attempt; %d targets had the request before", len(a.Exclude))
-}
-
-// refuse ends an attempt that never started and records why.
-func (s *steered) refuse(now time.Time, a *steeredAttempt, r Refusal) {
-	s.delegate.Event(event.Event{
-		Time: now, Kind: event.KindRefusal, Service: s.cfg.Service, Request: fmt.Sprint(a.ID), Rule: string(r.Reason),
-		Evidence: event.Evidence{Queued: len(s.waiting), Wait: s.drainTime(a), HealthySlots: s.slots(a), Detail: a.before()},
-	})
-	s.countLoss(true)
-	s.delegate.Refuse(a.ID, r)
-}
--- /dev/null
+++ b/pool/steer_spread.go
@@ -0,0 +1,88 @@
+package pool
+
+import "time"
+
+const (
+	// At least keptShare of the targets that are likely sound are used within
+	// spreadTime: the floor wants 0.7 of the sound ones in use over 2 s at the
+	// moment when a tenth is lost, which comes unforeseen. Likely sound are those
+	// up to keptRisk, for work that may be repeated those up to likelyRisk.
+	keptShare  = 0.9
+	keptRisk   = 0.33
+	spreadTime = 1600 * time.Millisecond
+	// spreadLoss is the share of lost requests above which spreadShare of all
+	// targets are used within spreadTime, up to spreadRisk by work that may be
+	// repeated: a doubtful target may be sound by now.
+	spreadLoss  = 0.07
+	spreadShare = 0.85
+	spreadRisk  = 0.95
+	// spreadReview is how long a share in use, once counted, is taken to hold.
+	spreadReview = 25 * time.Millisecond
+)
+
+// spreadState is whether too few targets were in use when they were counted.
+type spreadState struct {
+	counted time.Time
+	due     bool
+}
+
+// idleOne returns the idle target where a costs least while fewer targets are in
+// use than should be, and nil otherwise.
+func (s *steered) idleOne(r *round, a *steeredAttempt) *steeredTarget {
+	limit := s.spreadLimit(a)
+	if !s.mustSpread(r, a.mayFail(), limit) {
+		return nil
+	}
+	var best *steeredTarget
+	var bestCost time.Duration
+	for _, t := range r.free {
+		if r.now.Sub(t.used) < spreadTime || !a.fits(t) {
+			continue
+		}
+		risk := s.riskFor(r, a, t)
+		if risk > limit {
+			continue
+		}
+		if c := s.cost(a, t, risk); best == nil || c < bestCost {
+			best, bestCost = t, c
+		}
+	}
+	return best
+}
+
+// spreadLimit returns the risk up to which a is given to idle targets.
+func (s *steered) spreadLimit(a *steeredAttempt) float64 {
+	switch {
+	case s.lost > spreadLoss && a.mayFail():
+		return spreadRisk
+	case s.lost > spreadLoss || a.mayFail():
+		return likelyRisk
+	}
+	return keptRisk
+}
+
+// mustSpread says whether fewer targets are in use than should be: of all while
+// much work is lost, else of those up to the limit.
+func (s *steered) mustSpread(r *round, mayFail bool, limit float64) bool {
+	state := s.spread[mayFail]
+	if r.now.Sub(state.counted) < spreadReview {
+		return state.due
+	}
+	share := keptShare
+	if s.lost > spreadLoss {
+		share, limit = spreadShare, 1
+	}
+	likely, used := 0, 0
+	for _, t := range s.order {
+		if !t.usable() || s.riskOf(r, t) > limit {
+			continue
+		}
+		likely++
+		if r.now.Sub(t.used) < spreadTime {
+			used++
+		}
+	}
+	state = spreadState{counted: r.now, due: float64(used) < share*float64(likely)}
+	s.spread[mayFail] = state
+	return state.due
+}
