gateway: nodes know each other whatever address of the store each one has

The key between nodes was derived from the store's address. In the soak each node has its own, so that no node ever found a home there; a platform may give each availability zone its own too. Red test: every integration test of the gateway now gives nodes their own addresses (settledHome: not within 5 s).

testbed: one Place for a node's processes, used by soak and measure, and one AskJSON. soak: stalls of the machine count as faults and are told.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -101,7 +101,7 @@
 func (n *Node) joinFleet() error {
 	s := n.settings
 	var err error
-	n.transport, err = control.New(control.Config{Name: s.Name, Key: fleetKey(s), Seed: xxhash.Sum64String(s.Name)})
+	n.transport, err = control.New(control.Config{Name: s.Name, Key: fleetKey[:], Seed: xxhash.Sum64String(s.Name)})
 	if err != nil {
 		return err
 	}
@@ -145,12 +145,10 @@
 	homeFloorShare = 0.65
 )
 
-// fleetKey is the key by which nodes of one deployment know each other. The
-// platform hands out no secret, so that it keeps out strays, not attackers.
-func fleetKey(s *platform.Settings) []byte {
-	key := sha256.Sum256([]byte("filbertmill " + s.StoreAddress))
-	return key[:]
-}
+// fleetKey is the key by which nodes know each other. The platform hands out no
+// secret and no name of the deployment, and the store's address may differ from
+// node to node: the key keeps out what does not speak the protocol, not attackers.
+var fleetKey = sha256.Sum256([]byte("filbertmill gateway"))
 
 // Run serves until the context ends, then drains.
 func (n *Node) Run(ctx context.Context) error {
--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"filbertmill.example/platform"
 	"filbertmill.example/testbed/backend"
+	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/memory"
 	"filbertmill.example/testbed/process"
 	"filbertmill.example/testbed/standin"
@@ -53,8 +54,13 @@
 	f.configure(1500 * time.Millisecond)
 	f.specs, err = process.NewGateways(nodes, gatewayZones, strings.TrimPrefix(f.platform.URL(), "http://"))
 	qt.Assert(t, err, qt.IsNil)
-	for _, g := range f.specs {
-		f.startNode(g)
+	for i := range f.specs {
+		// Each node reaches the store at an address of its own.
+		proxy, err := faultproxy.Listen("127.0.0.1:0", strings.TrimPrefix(f.platform.URL(), "http://"))
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(proxy.Close)
+		f.specs[i].Store = proxy.Address()
+		f.startNode(f.specs[i])
 	}
 	for _, n := range f.nodes {
 		qt.Assert(t, n.Ready(t.Context()), qt.IsNil)
--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -9,7 +9,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"filbertmill.example/filbertmill/internal/cluster"
 	"filbertmill.example/fleet/publish"
 	"filbertmill.example/node"
 	"filbertmill.example/once"
@@ -17,6 +16,7 @@
 	"filbertmill.example/testbed/answer"
 	"filbertmill.example/testbed/faultproxy"
 	"filbertmill.example/testbed/memory"
+	"filbertmill.example/testbed/process"
 	"filbertmill.example/testbed/standin"
 	"filbertmill.example/testbed/target"
 )
@@ -104,7 +104,7 @@
 	n := 0
 	for _, spec := range f.specs {
 		var list []node.ClaimsStatus
-		c.Assert(cluster.GetJSON(c.Context(), spec.Admin, node.ClaimsPath, &list), qt.IsNil)
+		c.Assert(process.AskJSON(c.Context(), spec.Admin, node.ClaimsPath, &list), qt.IsNil)
 		for _, s := range list {
 			n += s.WitnessedEnds
 		}
--- a/measure/fleetscale/cost.go
+++ b/measure/fleetscale/cost.go
@@ -12,6 +12,7 @@
 
 	"filbertmill.example/filbertmill/internal/cluster"
 	"filbertmill.example/fleet/control"
+	"filbertmill.example/testbed/process"
 )
 
 const (
@@ -98,7 +99,7 @@
 		var vars struct {
 			Control control.Counters `json:"control"`
 		}
-		if err := cluster.GetJSON(ctx, n.Spec.Admin, "/debug/vars", &vars); err != nil {
+		if err := process.AskJSON(ctx, n.Spec.Admin, "/debug/vars", &vars); err != nil {
 			return total, err
 		}
 		total.sent += vars.Control.SentBytes
--- a/measure/fleetscale/losses.go
+++ b/measure/fleetscale/losses.go
@@ -13,6 +13,7 @@
 
 	"filbertmill.example/filbertmill/internal/cluster"
 	"filbertmill.example/pool"
+	"filbertmill.example/testbed/process"
 )
 
 const (
@@ -236,7 +237,7 @@
 			continue
 		}
 		var list []pool.Snapshot
-		if err := cluster.GetJSON(ctx, n.Spec.Admin, "/pools", &list); err != nil {
+		if err := process.AskJSON(ctx, n.Spec.Admin, "/pools", &list); err != nil {
 			return 0, err
 		}
 		for _, p := range list {
--- a/measure/node.go
+++ b/measure/node.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,29 +22,22 @@
 	binary, dir string
 	spec        process.Spec
 	settings    string
-
-	mu   sync.Mutex
-	proc *process.Node
+	place       process.Place
 }
 
 // start starts the node and waits until it is ready.
 func (p *node) start(ctx context.Context) error {
-	proc, err := process.Start(p.binary, p.dir, p.spec, p.settings)
+	err := p.place.Replace(func(*process.Node) {}, func() (*process.Node, error) {
+		return process.Start(p.binary, p.dir, p.spec, p.settings)
+	})
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
-	p.proc = proc
-	p.mu.Unlock()
-	return proc.Ready(ctx)
+	return p.process().Ready(ctx)
 }
 
 // process returns the process that runs the node, or nil if none was started.
-func (p *node) process() *process.Node {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.proc
-}
+func (p *node) process() *process.Node { return p.place.Running() }
 
 // drain ends the node gracefully.
 func (p *node) drain() error {
@@ -56,12 +46,7 @@
 }
 
 // close ends the node at once.
-func (p *node) close() {
-	if proc := p.process(); proc != nil {
-		_ = proc.Resume()
-		proc.Kill()
-	}
-}
+func (p *node) close() { p.place.Close() }
 
 // log returns what the node has logged.
 func (p *node) log() []byte {
@@ -80,13 +65,9 @@
 
 // ask reads JSON from the node's admin listener.
 func (p *node) ask(path string, into any) error {
-	client := http.Client{Timeout: adminTimeout}
-	resp, err := client.Get("http://" + p.spec.Admin + path)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(into)
+	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
+	defer cancel()
+	return process.AskJSON(ctx, p.spec.Admin, path, into)
 }
 
 // clockTick is the unit of the processor times in /proc.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -54,9 +54,7 @@
 
 // call sends one request and reads its answer.
 func (w *world) call(ctx context.Context, client *http.Client, n *node, c call) call {
-	n.mu.Lock()
-	c.node, c.life = n.spec.Name, n.life
-	n.mu.Unlock()
+	c.node, c.life = n.spec.Name, n.place.Life()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), patience)
 	defer cancel()
 	body := []byte("body " + c.id)
--- a/soak/history.go
+++ b/soak/history.go
@@ -107,6 +107,12 @@
 	for _, c := range h.calls {
 		counts[c.status]++
 	}
-	return fmt.Sprintf("%d requests, %d answered 200, %d refused, %d failed, %d without an answer, %d versions",
-		len(h.calls), counts[200], counts[503]+counts[429], counts[500]+counts[502]+counts[504], counts[0], len(h.versions))
+	stalls := 0
+	for _, m := range h.troubles {
+		if m.what == string(machineStalls) {
+			stalls++
+		}
+	}
+	return fmt.Sprintf("%d requests, %d answered 200, %d refused, %d failed, %d without an answer, %d versions, %d stalls of the machine",
+		len(h.calls), counts[200], counts[503]+counts[429], counts[500]+counts[502]+counts[504], counts[0], len(h.versions), stalls/2)
 }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -147,23 +147,19 @@
 	case stopNode:
 		w.restart(ctx, n, stop)
 	case pauseNode:
-		p := n.running()
+		p := n.place.Running()
 		_ = p.Pause()
 		sleep(ctx, s.lasts)
 		_ = p.Resume()
 	}
 }
 
-// restart ends a node and starts it again. Faults overlap: each one finds the
-// process that the one before has started.
+// restart ends a node and starts it again.
 func (w *world) restart(ctx context.Context, n *node, end func(*process.Node)) {
-	n.turn.Lock()
-	defer n.turn.Unlock()
-	end(n.running())
-	sleep(ctx, restartDelay)
-	if ctx.Err() == nil {
-		_ = w.startNode(n)
-	}
+	_ = w.startNode(n, func(p *process.Node) {
+		end(p)
+		sleep(ctx, restartDelay)
+	})
 }
 
 func kill(p *process.Node) { p.Kill() }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -37,6 +37,8 @@
 	targetLeaves  kind = "target_leaves"
 	targetCrashes kind = "target_crashes"
 	configure     kind = "configure"
+	// machineStalls is not injected: the machine did not run this process.
+	machineStalls kind = "machine_stalls"
 )
 
 var kinds = []kind{
--- a/soak/world.go
+++ b/soak/world.go
@@ -28,6 +28,10 @@
 	settleTime = 16 * time.Second
 	// watchInterval is the time between two checks of the promises during a run.
 	watchInterval = 2 * time.Second
+	// stallLook is how often the run looks at the clock, and stallMin by how much
+	// it may be late: more counts as a fault, as the machine stood still.
+	stallLook = 20 * time.Millisecond
+	stallMin  = 250 * time.Millisecond
 	// readBackInterval is the time between two looks whether a write was done.
 	readBackInterval = 50 * time.Millisecond
 	// restartDelay is how long a node that ended stays away.
@@ -43,21 +47,7 @@
 type node struct {
 	spec  process.Gateway
 	store *faultproxy.Proxy
-
-	// turn is held while the node is ended and started again.
-	turn sync.Mutex
-
-	mu      sync.Mutex
-	process *process.Node
-	// life counts the processes that ran.
-	life int
-}
-
-// running returns the node's latest process, or nil if none was started.
-func (n *node) running() *process.Node {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.process
+	place process.Place
 }
 
 // target is one backend with the proxy in front of it.
@@ -128,7 +118,7 @@
 		}
 	}
 	for _, n := range w.nodes {
-		if err := n.process.Ready(ctx); err != nil {
+		if err := n.place.Running().Ready(ctx); err != nil {
 			return err
 		}
 	}
@@ -143,25 +133,22 @@
 	spec.Store = proxy.Address()
 	n := &node{spec: spec, store: proxy}
 	w.nodes = append(w.nodes, n)
-	return w.startNode(n)
+	return w.startNode(n, kill)
 }
 
-// startNode starts a process for a node, unless the run is over.
-func (w *world) startNode(n *node) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.closed {
-		return errors.New("the run is over")
-	}
-	p, err := process.StartGateway(w.program, w.dir, n.spec)
-	if err != nil {
-		return err
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.process, n.life = p, n.life+1
-	n.spec.FirstStart = false
-	return nil
+// startNode starts a process for a node in place of the one it has, unless the
+// run is over.
+func (w *world) startNode(n *node, end func(*process.Node)) error {
+	return n.place.Replace(end, func() (*process.Node, error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.closed {
+			return nil, errors.New("the run is over")
+		}
+		spec := n.spec
+		spec.FirstStart = n.place.Life() == 0
+		return process.StartGateway(w.program, w.dir, spec)
+	})
 }
 
 func (w *world) addTarget(id, service, zone string) error {
@@ -236,6 +223,7 @@
 		found <- w.watch(ctx)
 		cancel()
 	}()
+	go w.noteStalls(ctx)
 	w.run(ctx, schedule)
 	if ctx.Err() != nil {
 		return <-found
@@ -244,6 +232,18 @@
 	return append(check(h), checkRecovered(h)...)
 }
 
+// noteStalls records when this process, and so likely others, did not run.
+func (w *world) noteStalls(ctx context.Context) {
+	for ctx.Err() == nil {
+		before := time.Now()
+		sleep(ctx, stallLook)
+		if late := time.Since(before) - stallLook; late > stallMin {
+			w.record.disturbed(machineStalls, before)
+			w.record.disturbed(machineStalls, time.Now())
+		}
+	}
+}
+
 // watch checks the promises until one is broken or the context ends.
 func (w *world) watch(ctx context.Context) []breach {
 	for ctx.Err() == nil {
@@ -283,10 +283,7 @@
 	targets := w.targets
 	w.mu.Unlock()
 	for _, n := range w.nodes {
-		if p := n.running(); p != nil {
-			_ = p.Resume()
-			p.Kill()
-		}
+		n.place.Close()
 		n.store.Close()
 	}
 	for _, t := range targets {
