--- a/soak/check.go
+++ b/soak/check.go
@@ -233,17 +233,25 @@
 }
 
 // checkRecovered reports a fleet that does not serve again after the last fault.
+// Requests during a stall of the machine don't count.
 func checkRecovered(h *history) []breach {
-	served, all := 0, 0
+	served, all, stalled := 0, 0, 0
 	for _, c := range h.calls {
 		if c.version > 0 || c.sent.Before(h.calm.Add(recoverTime)) {
 			continue
 		}
+		if h.stalledWithin(c.sent.Add(-patience), c.ended) {
+			stalled++
+			continue
+		}
 		all++
 		if c.status == http.StatusOK {
 			served++
 		}
 	}
+	if all == 0 && stalled > 0 {
+		return nil
+	}
 	if all == 0 || float64(served) < recoverShare*float64(all) {
 		return []breach{{promiseRecovered, fmt.Sprintf("%d of %d requests served after the last fault", served, all), ""}}
 	}
--- a/soak/history.go
+++ b/soak/history.go
@@ -84,6 +84,13 @@
 	return slices.ContainsFunc(h.troubles, func(m moment) bool { return m.at.After(from) && m.at.Before(to) })
 }
 
+// stalledWithin says whether the machine stood still between two times.
+func (h *history) stalledWithin(from, to time.Time) bool {
+	return slices.ContainsFunc(h.troubles, func(m moment) bool {
+		return m.what == string(machineStalls) && m.at.After(from) && m.at.Before(to)
+	})
+}
+
 // unplannedWithin says whether a fault that is no planned work began or ended
 // between two times.
 func (h *history) unplannedWithin(from, to time.Time) bool {
