--- a/soak/main.go
+++ b/soak/main.go
@@ -77,7 +77,7 @@
 	}
 	for i := range a.Seeds {
 		broken, err := playSeed(ctx, a, a.Seed+uint64(i))
-		if err != nil || ctx.Err() != nil {
+		if err != nil {
 			return err
 		}
 		if len(broken) > 0 {
@@ -116,6 +116,9 @@
 	}
 	broken := w.play(ctx, schedule)
 	w.close()
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("seed %d: interrupted; nothing is said of it", seed)
+	}
 	fmt.Printf("seed %d: %s; %d faults\n", seed, w.summary(), len(schedule))
 	if a.Plot != "" {
 		if err := writePlot(a.Plot, w.sofar(), schedule, w.start); err != nil {
--- a/soak/mutants.go
+++ b/soak/mutants.go
@@ -122,7 +122,7 @@
 	for i := range a.Seeds {
 		seed := a.Seed + uint64(i)
 		broken, err := playSeed(ctx, a, seed)
-		if err != nil || ctx.Err() != nil {
+		if err != nil {
 			return err
 		}
 		for _, b := range broken {
