pool: a round does not look at all targets for all that waits

Red test: TestCostOfARoundDoesNotGrowWithTheQueue; TestWorkBehindChoosyWorkStarts holds that nobody starves behind them.

--- a/pool/steer.go
+++ b/pool/steer.go
@@ -25,6 +25,9 @@
 	// better target, as long as it has time, if there is one.
 	lossRisk   = 0.25
 	repeatRisk = 0.55
+	// maxMisses is how many attempts that may not go to all targets alike are
+	// looked at in one round in vain: more would cost a home its processor.
+	maxMisses = 32
 	// patience is the share of the time until its due time for which an attempt
 	// waits for a better target than one that may well be sound, and likelyRisk
 	// the risk above which it is likelier that it is not.
@@ -82,8 +85,10 @@
 	risks map[*steeredTarget]float64
 	// busyBetter caches, by limit, whether a busy target is within it.
 	busyBetter map[float64]bool
-	// stuck holds the kinds of attempt of which one waits for a better target.
-	stuck map[bool]bool
+	// stuck holds the kinds of attempt of which one waits for a better target, and
+	// misses counts those that wait and may not go to all targets alike.
+	stuck  map[bool]bool
+	misses map[bool]int
 }
 
 // dispatch starts what can start.
@@ -92,7 +97,7 @@
 		return
 	}
 	r := &round{
-		now: now, risks: make(map[*steeredTarget]float64), busyBetter: make(map[float64]bool), stuck: make(map[bool]bool),
+		now: now, risks: make(map[*steeredTarget]float64), busyBetter: make(map[float64]bool), stuck: make(map[bool]bool), misses: make(map[bool]int),
 	}
 	for _, t := range s.order {
 		if t.free(now) > 0 {
@@ -120,15 +125,20 @@
 }
 
 // chooseOnce chooses a target for a, unless one like it that goes first waits
-// for a better target.
+// for a better target. One that may go to all targets alike speaks for those
+// that may not; of these, a few are looked at in vain and the others then wait,
+// so that a round does not look at all targets for all that waits.
 func (s *steered) chooseOnce(r *round, a *steeredAttempt) *steeredTarget {
+	kind := a.mayFail()
 	plain := len(a.Exclude)+len(a.Avoid)+len(a.Only) == 0
-	if plain && r.stuck[a.mayFail()] {
+	if r.stuck[kind] || (!plain && r.misses[kind] >= maxMisses) {
 		return nil
 	}
 	t := s.choose(r, a)
 	if t == nil && plain {
-		r.stuck[a.mayFail()] = true
+		r.stuck[kind] = true
+	} else if t == nil {
+		r.misses[kind]++
 	}
 	return t
 }
--- a/pool/steered_test.go
+++ b/pool/steered_test.go
@@ -275,6 +275,73 @@
 	qt.Check(t, r.refused[31].RetryAfter, qt.Equals, 1300*time.Millisecond)
 }
 
+// TestCostOfARoundDoesNotGrowWithTheQueue has work wait for trusted targets that
+// each has a target of its own to avoid, as while links are cut: one more or less
+// must not have all of it look at all targets again.
+func TestCostOfARoundDoesNotGrowWithTheQueue(t *testing.T) {
+	const targets, rounds, repeats = 100, 300, 5
+	timeOf := func(waiting int) time.Duration {
+		s := NewSteered(Config{Service: "s", QueueLimit: 1000}, newRecorder(), 1).(*steered)
+		var list []Target
+		for i := range targets {
+			list = append(list, Target{Name: fmt.Sprintf("t%03d", i), Slots: 2})
+		}
+		s.SetTargets(epoch, list)
+		busy := s.targets["t000"]
+		for _, target := range s.targets {
+			if target != busy {
+				target.belief = belief{faulty: 0.9, at: epoch, held: epoch.Add(time.Hour)}
+			}
+		}
+		submit := func(id RequestID) {
+			q := unsafeRequest(id, epoch)
+			q.Deadline, q.Due = epoch.Add(time.Hour), epoch.Add(time.Hour)
+			q.Avoid = []string{fmt.Sprintf("t%03d", 1+int(id)%(targets-1))}
+			s.Submit(epoch, q)
+		}
+		for id := RequestID(1); id <= RequestID(waiting+2); id++ {
+			submit(id)
+		}
+		qt.Assert(t, s.Queued(), qt.Equals, waiting)
+		best := time.Hour
+		for range repeats {
+			start := time.Now()
+			for range rounds {
+				s.dispatch(epoch)
+			}
+			best = min(best, time.Since(start))
+		}
+		return best
+	}
+	few, many := timeOf(maxMisses), timeOf(20*maxMisses)
+	qt.Check(t, many < 5*few, qt.IsTrue, qt.Commentf("%s with %d waiting, %s with %d", many/rounds, 20*maxMisses, few/rounds, maxMisses))
+}
+
+// TestWorkBehindChoosyWorkStarts has attempts wait in front that avoid the only
+// free target that is trusted: one behind them that may use it does.
+func TestWorkBehindChoosyWorkStarts(t *testing.T) {
+	s, r := steeredService(3)
+	for _, name := range []string{"a", "b"} {
+		s.targets[name].belief = belief{faulty: 0.9, at: epoch, held: epoch.Add(time.Hour)}
+	}
+	s.SetTargets(epoch, []Target{{Name: "a", Slots: 2}, {Name: "b", Slots: 2}, {Name: "c", Slots: 2}, {Name: "d", Slots: 1}})
+	s.Submit(epoch, unsafeRequest(1, epoch)) // keeps d or c busy, for which others wait
+	s.Submit(epoch, unsafeRequest(2, epoch))
+	id := RequestID(3)
+	submit := func(avoid ...string) {
+		q := unsafeRequest(id, epoch)
+		q.Deadline, q.Due, q.Avoid = epoch.Add(time.Minute), epoch.Add(time.Minute), avoid
+		s.Submit(epoch, q)
+	}
+	for range 2 * maxMisses {
+		submit("c", "d")
+		id++
+	}
+	qt.Assert(t, s.Queued(), qt.Equals, 2*maxMisses)
+	submit()
+	qt.Check(t, r.started[id], qt.Not(qt.Equals), "")
+}
+
 // BenchmarkSteeredCrest submits and finishes attempts behind a long queue: the
 // work for one must not grow with the queue times the targets.
 func BenchmarkSteeredCrest(b *testing.B) {
