--- a/pool/steer_spread.go
+++ b/pool/steer_spread.go
@@ -12,10 +12,12 @@
 	spreadTime = 1600 * time.Millisecond
 	// spreadLoss is the share of lost requests above which spreadShare of all
 	// targets are used within spreadTime, up to spreadRisk by work that may be
-	// repeated: a doubtful target may be sound by now.
-	spreadLoss  = 0.07
-	spreadShare = 0.85
-	spreadRisk  = 0.95
+	// repeated and up to spreadOnceRisk by other: a target that reset a request
+	// some seconds ago may be sound by now, and the floor counts it.
+	spreadLoss     = 0.07
+	spreadShare    = 0.85
+	spreadRisk     = 0.95
+	spreadOnceRisk = 0.6
 	// spreadReview is how long a share in use, once counted, is taken to hold.
 	spreadReview = 25 * time.Millisecond
 )
@@ -55,7 +57,9 @@
 	switch {
 	case s.lost > spreadLoss && a.mayFail():
 		return spreadRisk
-	case s.lost > spreadLoss || a.mayFail():
+	case s.lost > spreadLoss:
+		return spreadOnceRisk
+	case a.mayFail():
 		return likelyRisk
 	}
 	return keptRisk
