--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -317,22 +317,6 @@
 	f.relays.Store(&list)
 }
 
-// besideRelays reports whether relays answer and this node is none of them.
-func (f *Follower) besideRelays(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	relays, _ := f.candidates(now)
-	if slices.Contains(relays, f.cfg.Self) || now.Sub(f.polled) < relayTime {
-		return false
-	}
-	for _, fd := range f.feeds {
-		if fd.answers(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // needsStore reports whether this node has to follow the store itself.
 func (f *Follower) needsStore(now time.Time) bool {
 	f.mu.Lock()
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -34,16 +34,11 @@
 	hearTime = 150 * time.Millisecond
 	// batchTime is how long changes are collected before the next watch, which
 	// is a call that is charged.
-	batchTime = 100 * time.Millisecond
+	batchTime = 30 * time.Millisecond
 	// retryMin and retryMax bound the wait before the store is asked again
 	// after a failure; refused calls are charged, too.
 	retryMin = 100 * time.Millisecond
 	retryMax = 2 * time.Second
-	// asideMin and asideMax bound it for a node beside relays that answer and do
-	// not reach the store either: the store is likelier away than all of them cut
-	// off, and they tell when it is back.
-	asideMin = 400 * time.Millisecond
-	asideMax = 4 * time.Second
 	// reportTime is how long after an outage of the store the targets whose
 	// entries lapsed meanwhile may take to report again.
 	reportTime = 2200 * time.Millisecond
@@ -67,22 +62,14 @@
 			failures = 0
 			continue
 		}
-		wait := f.retryWait(failures)
+		wait := min(retryMin<<failures, retryMax)
+		wait = wait/2 + rand.N(wait/2)
 		failures = min(failures+1, 10)
 		f.cfg.Log.Warn("the store does not answer", "error", err, "failures", failures, "next_ms", wait.Milliseconds())
 		sleep(ctx, wait)
 	}
 }
 
-// retryWait returns how long to wait after so many failures before.
-func (f *Follower) retryWait(failures int) time.Duration {
-	wait := min(retryMin<<failures, retryMax)
-	if f.besideRelays(time.Now()) {
-		wait = min(asideMin<<failures, asideMax)
-	}
-	return wait/2 + rand.N(wait/2)
-}
-
 // follow reads the whole content and then its changes, until a call fails or
 // this node need not follow the store any more.
 func (f *Follower) follow(ctx context.Context) error {
