follow: a relay that turned stale says so at once to nodes that take it for fresh

Red test: TestRelayThatTurnedStaleBetweenQuestionsSaysSo (held 2 s).

soak: errors of the world itself are told; one way to disturb a link.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -49,7 +49,9 @@
 		after := f.cfg.Replica.View().Revision
 		callCtx, cancel := context.WithTimeout(ctx, wait+pollGrace)
 		var u update
-		err := f.cfg.Transport.Call(callCtx, to, kindChanges, question{After: after, Wait: wait, NoticeOnly: notice}, &u)
+		err := f.cfg.Transport.Call(callCtx, to, kindChanges, question{
+			After: after, Wait: wait, NoticeOnly: notice, Fresh: f.lastFresh(n.Name),
+		}, &u)
 		cancel()
 		if err != nil {
 			return err
@@ -70,6 +72,14 @@
 	return ctx.Err()
 }
 
+// lastFresh says whether a relay's copy was fresh when it last answered.
+func (f *Follower) lastFresh(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fd := f.feeds[name]
+	return fd != nil && !fd.heard.IsZero() && fd.age < freshAge
+}
+
 // awaitRevision waits until this node's copy has reached a revision.
 func (f *Follower) awaitRevision(ctx context.Context, at platform.Revision) bool {
 	timer := time.NewTimer(noticeWait)
--- a/gateway/follow/follower_test.go
+++ b/gateway/follow/follower_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"filbertmill.example/fleet/control"
@@ -205,3 +206,45 @@
 	calls = s.Store.Calls().Total() - start - writes
 	qt.Check(t, calls <= nodes*perNode, qt.IsTrue, qt.Commentf("%d calls by %d nodes", calls, nodes))
 }
+
+// TestOutageCostsFewCalls has the store refuse all: nodes beside relays ask it
+// less than once a second, and know a change soon after it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	const outage = 6 * time.Second
+	s, client, members := startMembers(t, 8)
+	time.Sleep(relayTime + time.Second)
+	s.Store.SetFaults(memory.Faults{Refuse: true})
+	time.Sleep(freshAge)
+	before := s.Store.Calls().Total()
+	time.Sleep(outage)
+	calls := s.Store.Calls().Total() - before
+	// Two relays may ask each second, six nodes half as often.
+	allowed := int64(outage/time.Second) * (2*2 + 6)
+	qt.Check(t, calls <= allowed, qt.IsTrue, qt.Commentf("%d calls in %s, %d allowed", calls, outage, allowed))
+	s.Store.SetFaults(memory.Faults{})
+	put(t, client, 2)
+	awaitVersion(t, members, 2, retryMax+bound)
+}
+
+// TestRelayThatTurnedStaleBetweenQuestionsSaysSo has a relay answer while its copy
+// is just fresh, and be asked again once it is not: holding the question would
+// leave the node with an old copy that it takes for fresh.
+func TestRelayThatTurnedStaleBetweenQuestionsSaysSo(t *testing.T) {
+	transport, err := control.New(control.Config{Name: "relay", Key: []byte("0123456789abcdef")})
+	qt.Assert(t, err, qt.IsNil)
+	f := New(Config{Replica: replica.New(hclog.NewNullLogger()), Transport: transport, Log: hclog.NewNullLogger()})
+	f.noteStore(time.Now().Add(-freshAge - 50*time.Millisecond))
+	ask := func(fresh bool) (update, time.Duration) {
+		body, err := cbor.Marshal(question{Wait: farWait, Fresh: fresh})
+		qt.Assert(t, err, qt.IsNil)
+		start := time.Now()
+		reply, err := f.answer(t.Context(), "n", body)
+		qt.Assert(t, err, qt.IsNil)
+		return reply.(update), time.Since(start)
+	}
+	u, took := ask(true)
+	qt.Check(t, u.Age >= freshAge, qt.IsTrue)
+	qt.Check(t, took < lookInterval, qt.IsTrue, qt.Commentf("took %s", took))
+	_, took = ask(false)
+	qt.Check(t, took >= farWait, qt.IsTrue, qt.Commentf("a node that knows is not told again for %s", farWait))
+}
--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -19,6 +19,9 @@
 	Wait time.Duration `cbor:"2,keyasint"`
 	// NoticeOnly asks that something changed, not what: another relay tells it.
 	NoticeOnly bool `cbor:"3,keyasint,omitempty"`
+	// Fresh says that by the relay's last answer its copy was fresh: if it is not
+	// any more, the node must hear so at once and follow the store itself.
+	Fresh bool `cbor:"4,keyasint,omitempty"`
 }
 
 // update answers a question.
@@ -46,7 +49,7 @@
 	defer timer.Stop()
 	look := time.NewTicker(lookInterval)
 	defer look.Stop()
-	wasFresh := f.storeAge() < freshAge
+	wasFresh := q.Fresh || f.storeAge() < freshAge
 	for {
 		changed := f.cfg.Replica.Changed()
 		changes, through, whole := f.cfg.Replica.Changes(q.After)
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -34,7 +34,7 @@
 	hearTime = 150 * time.Millisecond
 	// batchTime is how long changes are collected before the next watch, which
 	// is a call that is charged.
-	batchTime = 30 * time.Millisecond
+	batchTime = 100 * time.Millisecond
 	// retryMin and retryMax bound the wait before the store is asked again
 	// after a failure; refused calls are charged, too.
 	retryMin = 100 * time.Millisecond
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"filbertmill.example/testbed/backend"
@@ -18,14 +19,14 @@
 	case killNode, pauseNode, stopNode, killAll:
 		w.disturbNode(ctx, s)
 	case cutStore, silenceStore:
-		w.disturbPath(ctx, s)
+		disturbLink(ctx, w.nodes[s.index%len(w.nodes)].store, s.kind == silenceStore, s.lasts)
 	case configure:
 		// A store in trouble refuses; the next version comes with a later step.
 		_ = w.configure(ctx)
 	case targetLeaves, targetCrashes:
 		w.replaceTarget(ctx, s)
 	case targetCut, targetOneWay:
-		w.disturbTargetPath(ctx, s)
+		disturbLink(ctx, w.target(s.index).proxy, s.kind == targetOneWay, s.lasts)
 	default:
 		if behavior, ok := behaviors[s.kind]; ok {
 			w.disturbTarget(ctx, s, behavior)
@@ -72,7 +73,7 @@
 	t.Close()
 	t.proxy.Close()
 	id := t.ID + "x"
-	_ = w.addTarget(id, t.Service, t.AvailabilityZone)
+	tell(ctx, "start target "+id, w.addTarget(id, t.Service, t.AvailabilityZone))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, other := range w.targets {
@@ -83,29 +84,16 @@
 	}
 }
 
-func (w *world) disturbTargetPath(ctx context.Context, s step) {
-	p := w.target(s.index).proxy
-	if s.kind == targetOneWay {
+// disturbLink silences a proxy's way back, or cuts it off, for a time. Its
+// connections end with the fault.
+func disturbLink(ctx context.Context, p *faultproxy.Proxy, silent bool, lasts time.Duration) {
+	if silent {
 		p.Set(faultproxy.ToCaller, faultproxy.Fault{BlackHole: true})
 	} else {
 		p.Refuse(true)
 		p.Cut()
 	}
-	sleep(ctx, s.lasts)
-	p.Refuse(false)
-	p.Set(faultproxy.ToCaller, faultproxy.Fault{})
-	p.Cut()
-}
-
-func (w *world) disturbPath(ctx context.Context, s step) {
-	p := w.nodes[s.index%len(w.nodes)].store
-	if s.kind == silenceStore {
-		p.Set(faultproxy.ToCaller, faultproxy.Fault{BlackHole: true})
-	} else {
-		p.Refuse(true)
-		p.Cut()
-	}
-	sleep(ctx, s.lasts)
+	sleep(ctx, lasts)
 	p.Refuse(false)
 	p.Set(faultproxy.ToCaller, faultproxy.Fault{})
 	p.Cut()
@@ -148,6 +136,7 @@
 		w.restart(ctx, n, stop)
 	case pauseNode:
 		p := n.place.Running()
+		// A process that another fault has ended needs no pause.
 		_ = p.Pause()
 		sleep(ctx, s.lasts)
 		_ = p.Resume()
@@ -156,14 +145,24 @@
 
 // restart ends a node and starts it again.
 func (w *world) restart(ctx context.Context, n *node, end func(*process.Node)) {
-	_ = w.startNode(n, func(p *process.Node) {
+	err := w.startNode(n, func(p *process.Node) {
 		end(p)
 		sleep(ctx, restartDelay)
 	})
+	tell(ctx, "start "+n.spec.Name, err)
+}
+
+// tell prints what went wrong in the world itself, while the run goes on.
+func tell(ctx context.Context, what string, err error) {
+	if err != nil && ctx.Err() == nil {
+		fmt.Printf("soak: %s: %v\n", what, err)
+	}
 }
 
 func kill(p *process.Node) { p.Kill() }
 
+// stop ends a process in order; the error of one that was killed meanwhile, or
+// of its end, is none of the soak's.
 func stop(p *process.Node) {
 	_ = p.Terminate()
 	_ = p.Wait()
