gateway: logs and metrics that tell why second attempts pass their budget

Nothing told which service an attempt was for, how long it had waited between its question and its grant, or what was left of the budget then; when a node begins to serve a service as its home, and with which counts; or that counts did not reach another home (a Debug line). A refusal named the budget also where queued work was the reason.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -113,8 +113,9 @@
 	if e.verdict == pool.VerdictAnswered && p.repeat == balance.First {
 		line = n.log.Debug // the line on the answer says it all
 	}
-	line("attempt ended", "request", r.id, "target", t.ID, "home", lease.Home, "verdict", e.verdict.String(),
-		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.repeat, "idle_ms", e.idle.Milliseconds(), "breach", string(e.breach), "detail", e.outcome.Detail)
+	line("attempt ended", "request", r.id, "service", r.service, "target", t.ID, "home", lease.Home, "verdict", e.verdict.String(),
+		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.repeat, "waited_ms", lease.Waited.Milliseconds(),
+		"left", lease.Left, "idle_ms", e.idle.Milliseconds(), "breach", string(e.breach), "detail", e.outcome.Detail)
 	return e
 }
 
--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -91,6 +91,10 @@
 	Doubtful bool `cbor:"6,keyasint,omitempty"`
 	// Queued says that the attempt still waits.
 	Queued bool `cbor:"4,keyasint,omitempty"`
+	// Waited is the time from the question to the grant, and Left the number of
+	// second attempts that the budget had left then.
+	Waited time.Duration `cbor:"7,keyasint,omitempty"`
+	Left   int           `cbor:"8,keyasint,omitempty"`
 }
 
 // Report tells of the end of a granted attempt.
--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -37,12 +37,15 @@
 	Seed uint64
 	// Log receives the decisions.
 	Log hclog.Logger
+	// Stats counts second attempts; nil counts nothing.
+	Stats *Stats
 }
 
 // Loop assigns attempts to targets. Its methods may be called from any
 // goroutine; replies come from the Loop's own, and must not block.
 type Loop struct {
 	cfg     Config
+	stats   *Stats
 	mailbox chan func(now time.Time)
 	done    chan struct{}
 
@@ -61,6 +64,7 @@
 func New(cfg Config) *Loop {
 	return &Loop{
 		cfg:      cfg,
+		stats:    cfg.Stats,
 		mailbox:  make(chan func(time.Time), mailboxSize),
 		done:     make(chan struct{}),
 		view:     &replica.View{},
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -21,6 +21,9 @@
 	// its fixed second attempts that a Loop grants which has just started.
 	restartTime  = 10 * time.Second
 	RestartShare = 0.45
+	// quietTime is the time without a question after which a Loop begins anew to
+	// serve a service.
+	quietTime = 3 * time.Second
 )
 
 // service is the state of one service; it is the Delegate of its Scheduler.
@@ -33,15 +36,18 @@
 	counted RetryCount
 	ids     map[ID]pool.RequestID
 	open    map[pool.RequestID]*open
+	// asked is when an attempt was last submitted.
+	asked time.Time
 }
 
 // open is an attempt that was submitted and not ended.
 type open struct {
 	Attempt
-	deadline time.Time
-	reply    func(Grant)
-	target   string
-	started  time.Time
+	deadline  time.Time
+	reply     func(Grant)
+	target    string
+	submitted time.Time
+	started   time.Time
 }
 
 func newService(l *Loop, name string, now time.Time) *service {
@@ -104,20 +110,22 @@
 		return
 	}
 	s.retries.SetConfig(s.loop.retryConfig(now))
+	s.noteAsked(now)
+	queued := a.Repeat == Hedge && s.sched.Queued() > 0
 	if a.Repeat == First {
 		s.retries.Request(now)
 		s.counted.Requests++
-	} else if a.Repeat != Redirected && !s.retries.Take(now, a.Repeat == Hedge && s.sched.Queued() > 0) {
-		s.loop.cfg.Log.Info("second attempt refused: the retry budget is spent",
-			"request", a.Request, "service", s.name, "left", s.retries.Left(now))
+	} else if a.Repeat != Redirected && !s.retries.Take(now, queued) {
+		s.refuseSecond(now, a, queued)
 		reply(Grant{Reason: outcome.ReasonNoTarget})
 		return
 	} else if a.Repeat != Redirected {
 		s.counted.Retries++
+		s.loop.stats.add(s.name, secondGranted)
 	}
 	s.loop.lastID++
 	id := s.loop.lastID
-	o := &open{Attempt: a, deadline: now.Add(a.TimeLeft), reply: reply}
+	o := &open{Attempt: a, deadline: now.Add(a.TimeLeft), reply: reply, submitted: now}
 	s.open[id] = o
 	s.ids[a.ID] = id
 	s.sched.Submit(now, pool.Request{
@@ -128,6 +136,27 @@
 	})
 }
 
+// noteAsked logs when the Loop begins to serve the service, with what it knows.
+func (s *service) noteAsked(now time.Time) {
+	if s.asked.IsZero() || now.Sub(s.asked) >= quietTime {
+		requests, retries := s.retries.Sum(now)
+		s.loop.cfg.Log.Info("serving a service", "service", s.name, "requests", requests, "second_attempts", retries,
+			"left", s.retries.Left(now))
+	}
+	s.asked = now
+}
+
+// refuseSecond logs and counts a second attempt that is not granted.
+func (s *service) refuseSecond(now time.Time, a Attempt, queued bool) {
+	cause := secondSpent
+	if queued {
+		cause = secondQueued
+	}
+	s.loop.stats.add(s.name, cause)
+	s.loop.cfg.Log.Info("second attempt refused", "cause", cause, "request", a.Request, "service", s.name,
+		"left", s.retries.Left(now), "queued", s.sched.Queued())
+}
+
 // names returns the names of the service's targets with the given hashes.
 func (s *service) names(hashes []TargetHash) []string {
 	if len(hashes) == 0 {
@@ -229,7 +258,11 @@
 	o := s.open[id]
 	o.target = target
 	o.started = time.Now()
-	o.reply(Grant{Target: target, Usual: s.sched.Usual(o.Route), Doubtful: s.loop.broken.has(o.Fingerprint)})
+	g := Grant{Target: target, Usual: s.sched.Usual(o.Route), Doubtful: s.loop.broken.has(o.Fingerprint)}
+	if o.Repeat != First {
+		g.Waited, g.Left = o.started.Sub(o.submitted), s.retries.Left(o.started)
+	}
+	o.reply(g)
 }
 
 // Refuse implements pool.Delegate.
--- a/gateway/homes/counts.go
+++ b/gateway/homes/counts.go
@@ -63,7 +63,7 @@
 			// A home that misses counts grants a little more after a takeover.
 			err := c.transport.Send(ctx, control.Peer{Name: n.Name, ControlAddress: n.ControlAddress}, kindCounts, counts)
 			if err != nil {
-				c.log.Debug("retry counts lost", "home", n.Name, "services", len(counts), "error", err)
+				c.log.Info("retry counts lost", "home", n.Name, "services", len(counts), "error", err)
 			}
 		}()
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -140,6 +140,7 @@
 		Restarted:  !n.settings.FirstStart,
 		Seed:       xxhash.Sum64String(n.settings.Name),
 		Log:        n.log,
+		Stats:      n.stats.second,
 	}
 }
 
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"filbertmill.example/gateway/balance"
 	"filbertmill.example/outcome"
 	"filbertmill.example/platform"
 )
@@ -35,6 +36,8 @@
 	deliveries  *expvar.Map
 	connections *expvar.Map
 	discarded   *expvar.Int
+	// second counts second attempts that this node granted or refused.
+	second *balance.Stats
 	// panics counts those that were caught in the work on a request.
 	panics *expvar.Int
 
@@ -55,6 +58,7 @@
 		deliveries:  expvar.NewMap("deliveries"),
 		connections: expvar.NewMap("caller_connections_ended"),
 		discarded:   expvar.NewInt("caller_bytes_discarded"),
+		second:      balance.NewStats("second_attempts"),
 		panics:      expvar.NewInt("panics"),
 
 		latencies: make(map[outcome.Kind]*hdrhistogram.Histogram),
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -74,12 +74,12 @@
 // Left returns the number of second attempts that would be granted now if no
 // work waited.
 func (b *Budget) Left(now time.Time) int {
-	requests, retries := b.sum(now)
+	requests, retries := b.Sum(now)
 	return b.cfg.Floor + int(b.cfg.Share*float64(requests)) - retries
 }
 
-// sum adds up what lies within the window.
-func (b *Budget) sum(now time.Time) (requests, retries int) {
+// Sum returns the requests and second attempts within the window.
+func (b *Budget) Sum(now time.Time) (requests, retries int) {
 	for i := range b.ring {
 		if age := now.Sub(b.ring[i].start); age >= window || age < 0 {
 			continue
