--- /dev/null
+++ b/gateway/balance/fleet_test.go
@@ -0,0 +1,270 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/pool"
+	"filbertmill.example/retry"
+)
+
+// The bound on second attempts in the tests of a fleet: of one service, in any
+// window, ratio times its requests plus extra.
+const (
+	boundWindow = 10 * time.Second
+	boundRatio  = 0.2
+	boundExtra  = 60
+)
+
+const (
+	// fleetHosts is the number of hosts of a test fleet and fleetRate the
+	// requests a second that they take together.
+	fleetHosts = 24
+	fleetRate  = 100
+	// fleetTargets are enough to run all attempts at once.
+	fleetTargets = 60
+	// fleetAttempts is the number of targets that a request may go to.
+	fleetAttempts = 3
+	fleetStep     = 10 * time.Millisecond
+)
+
+// fleet plays hosts that ask homes for targets in virtual time, without a
+// network. Hosts and homes may disagree on who is the home.
+type fleet struct {
+	rng   *rand.Rand
+	now   time.Time
+	hosts []*fleetHost
+	homes []*Loop
+	ids   uint64
+	// failing is the share of attempts that fail.
+	failing float64
+	// counts says whether what a home has counted reaches another.
+	counts func(from, to int) bool
+	// requests and seconds are the times of requests and of second attempts.
+	requests []time.Time
+	seconds  []time.Time
+}
+
+// fleetHost is a host that takes callers' requests.
+type fleetHost struct {
+	// home is the index of the home that it asks; alone is what it asks if
+	// that is negative.
+	home  int
+	alone *Loop
+}
+
+func newFleet(seed uint64, homes int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), now: epoch, counts: func(int, int) bool { return true }}
+	for range homes {
+		f.homes = append(f.homes, f.newHome(false))
+	}
+	for range fleetHosts {
+		f.hosts = append(f.hosts, f.newHost())
+	}
+	return f
+}
+
+func (f *fleet) newHome(restarted bool) *Loop {
+	l := newLoop(fleetTargets, retry.Config{Share: boundRatio * 0.9, Floor: boundExtra * 65 / 100})
+	l.cfg.Restarted, l.started = restarted, f.now
+	return l
+}
+
+func (f *fleet) newHost() *fleetHost {
+	return &fleetHost{alone: newLoop(fleetTargets, retry.Config{Share: boundRatio * 0.1})}
+}
+
+// run plays a time at the fleet's usual rate of requests.
+func (f *fleet) run(d time.Duration) { f.runAt(d, fleetRate) }
+
+func (f *fleet) runAt(d time.Duration, rate float64) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(fleetStep) {
+		if f.now.Sub(epoch)%(500*time.Millisecond) == 0 {
+			f.tellCounts()
+		}
+		for range f.poisson(rate * fleetStep.Seconds()) {
+			f.request(f.hosts[f.rng.IntN(len(f.hosts))])
+		}
+	}
+}
+
+// poisson draws a number of events of which mean are expected.
+func (f *fleet) poisson(mean float64) int {
+	n := 0
+	for left := f.rng.ExpFloat64(); left < mean; left += f.rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// tellCounts has homes tell each other what they have counted.
+func (f *fleet) tellCounts() {
+	for i, from := range f.homes {
+		s := from.service("s", f.now)
+		told := s.counted
+		s.counted = RetryCount{}
+		for j, to := range f.homes {
+			if i != j && f.counts(i, j) {
+				to.service("s", f.now).retries.Add(f.now, told.Requests, told.Retries)
+			}
+		}
+	}
+}
+
+// request plays one request with all of its attempts.
+func (f *fleet) request(h *fleetHost) {
+	f.requests = append(f.requests, f.now)
+	repeat := First
+	for range fleetAttempts {
+		if !f.attempt(h, repeat) || f.rng.Float64() >= f.failing {
+			return
+		}
+		repeat = AfterFailure
+	}
+}
+
+// attempt asks the host's home for a target and reports the end at once.
+func (f *fleet) attempt(h *fleetHost, repeat Repeat) bool {
+	l := h.alone
+	if h.home >= 0 {
+		l = f.homes[h.home]
+	}
+	f.ids++
+	id := ID{Number: f.ids}
+	if submit(l, f.now, Attempt{ID: id, Repeat: repeat}).Target == "" {
+		return false
+	}
+	if repeat != First {
+		f.seconds = append(f.seconds, f.now)
+	}
+	l.service("s", f.now).finish(f.now, Report{ID: id, Service: "s", Verdict: pool.VerdictAnswered})
+	return true
+}
+
+// worst returns the window with the most second attempts above the bound, and
+// by how many they are.
+func (f *fleet) worst() (start time.Duration, excess float64) {
+	excess = -boundExtra
+	for i, at := range f.seconds {
+		requests := 0
+		for _, before := range []time.Duration{0, boundWindow / 2, boundWindow} {
+			from := at.Add(-before)
+			requests = max(requests, countFrom(f.requests, from.Add(boundWindow))-countFrom(f.requests, from))
+		}
+		n := countFrom(f.seconds, at.Add(boundWindow)) - i
+		if over := float64(n) - boundRatio*float64(requests) - boundExtra; over > excess {
+			start, excess = at.Sub(epoch), over
+		}
+	}
+	return start, excess
+}
+
+// countFrom returns the number of times before the given one.
+func countFrom(times []time.Time, to time.Time) int {
+	n, _ := slices.BinarySearchFunc(times, to, time.Time.Compare)
+	return n
+}
+
+// checkBound fails the test if any window holds more than the bound.
+func (f *fleet) checkBound(t *testing.T, desc string) {
+	t.Helper()
+	start, excess := f.worst()
+	qt.Check(t, excess <= 0, qt.IsTrue, qt.Commentf("%s: %.0f second attempts too many in the window from %s", desc, excess, start))
+}
+
+// split has each host ask one of the first n homes, drawn at random.
+func (f *fleet) split(n int) {
+	for _, h := range f.hosts {
+		h.home = f.rng.IntN(n)
+	}
+}
+
+// TestOverlappingHomesStayWithinTheRetryBound guards against several homes of
+// one service that each spend the whole fleet's second attempts.
+func TestOverlappingHomesStayWithinTheRetryBound(t *testing.T) {
+	for homes := 2; homes <= 5; homes++ {
+		f := newFleet(uint64(homes), homes)
+		f.run(15 * time.Second)
+		f.failing = 0.9
+		f.split(homes)
+		f.run(12 * time.Second)
+		f.checkBound(t, fmt.Sprintf("%d homes at once", homes))
+	}
+}
+
+// TestSuccessiveHomesStayWithinTheRetryBound guards against second attempts
+// that are forgotten with the home that granted them.
+func TestSuccessiveHomesStayWithinTheRetryBound(t *testing.T) {
+	f := newFleet(1, 1)
+	f.run(15 * time.Second)
+	f.failing = 0.9
+	for range 12 {
+		f.run(time.Second)
+		f.homes[0] = f.newHome(true)
+	}
+	f.checkBound(t, "a home a second")
+}
+
+// TestFleetStaysWithinTheRetryBound guards against second attempts beyond the
+// bound in random series of homes that start, end and overlap, hosts that start,
+// end and decide alone, and counts that are lost.
+func TestFleetStaysWithinTheRetryBound(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(seed, 5)
+		f.counts = func(int, int) bool { return f.rng.IntN(4) > 0 }
+		for range 40 {
+			f.disturb()
+			f.run(time.Duration(f.rng.IntN(2000)) * time.Millisecond / fleetStep * fleetStep)
+		}
+		f.checkBound(t, fmt.Sprintf("seed %d", seed))
+	}
+}
+
+// disturb changes one thing in the fleet.
+func (f *fleet) disturb() {
+	host := f.rng.IntN(len(f.hosts))
+	switch f.rng.IntN(7) {
+	case 0:
+		f.failing = []float64{0, 0.1, 0.5, 1}[f.rng.IntN(4)]
+	case 1:
+		f.homes[f.rng.IntN(len(f.homes))] = f.newHome(true)
+	case 2:
+		f.split(1 + f.rng.IntN(len(f.homes)))
+	case 3:
+		home := f.rng.IntN(len(f.homes))
+		for _, h := range f.hosts {
+			h.home = home
+		}
+	case 4:
+		home := f.hosts[host].home
+		f.hosts[host] = f.newHost()
+		f.hosts[host].home = home
+	case 5:
+		f.hosts[host].home = -1
+	case 6:
+		for i := range f.hosts {
+			f.hosts[i] = f.newHost()
+		}
+		for i := range f.homes {
+			f.homes[i] = f.newHome(true)
+		}
+	}
+}
+
+// TestCalmFleetSpendsMostOfTheRetryBound guards against a bound that is kept by
+// not granting what it allows.
+func TestCalmFleetSpendsMostOfTheRetryBound(t *testing.T) {
+	f := newFleet(1, 1)
+	f.failing = 1
+	f.run(70 * time.Second)
+	from := countFrom(f.seconds, epoch.Add(20*time.Second))
+	allowed := 5 * (boundRatio*fleetRate*boundWindow.Seconds() + boundExtra)
+	spent := float64(len(f.seconds) - from)
+	qt.Check(t, spent > allowed/2, qt.IsTrue, qt.Commentf("%.0f second attempts of %.0f allowed", spent, allowed))
+	f.checkBound(t, "one home")
+}
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -80,3 +81,29 @@
 	b.SetConfig(retry.Config{Share: 0.2})
 	c.Assert(b.Left(start), qt.Equals, 20)
 }
+
+// TestNoWindowHoldsMoreThanTheBudget guards against second attempts that are
+// forgotten before the window in which they count has passed.
+func TestNoWindowHoldsMoreThanTheBudget(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		cfg := retry.Config{Share: 0.2, Floor: 20}
+		b := retry.NewBudget(cfg)
+		var granted []time.Time
+		now := start.Add(time.Duration(rng.Int64N(int64(time.Second))))
+		for range 400 {
+			now = now.Add(time.Duration(rng.Int64N(1 + rng.Int64N(int64(3*time.Second)))))
+			for range rng.IntN(40) {
+				if b.Take(now, false) {
+					granted = append(granted, now)
+				}
+			}
+		}
+		for i := range granted {
+			if j := i + cfg.Floor; j < len(granted) {
+				between := granted[j].Sub(granted[i])
+				qt.Assert(t, between >= 10*time.Second, qt.IsTrue, qt.Commentf("seed %d: %d within %s", seed, cfg.Floor+1, between))
+			}
+		}
+	}
+}
