retry: a second attempt counts until the window has passed

Callers' targets could get the whole budget twice in 9.05 s: the window was ten parts, and the oldest was dropped whole when its first moment was 10 s old. Now a part's second attempts count until the latest of them is that old, while its requests count only as long as all of them are within the window; parts of 100 ms keep the loss by that small (TestRetriesStayUnderTheShareOfAllRequests). TestNoWindowHoldsMoreThanTheBudget failed before.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -6,7 +6,7 @@
 	// window is the time over which the ratio of retries to requests counts.
 	window = 10 * time.Second
 	// buckets is the number of parts into which the window is cut.
-	buckets = 10
+	buckets = 100
 	// bucketWidth is the time that one part covers.
 	bucketWidth = window / buckets
 )
@@ -27,13 +27,16 @@
 	start    time.Time
 	requests int
 	retries  int
+	// lastRetry is when the latest of the retries was granted.
+	lastRetry time.Time
 }
 
 // Budget is the retry budget of one service. It is not safe for concurrent
 // use: its owner calls it from one goroutine and passes the time in.
 type Budget struct {
-	cfg  Config
-	ring [buckets]bucket
+	cfg Config
+	// ring has one part more than the window: the oldest has left it only in part.
+	ring [buckets + 1]bucket
 }
 
 // NewBudget returns a full budget.
@@ -56,7 +59,7 @@
 func (b *Budget) Add(now time.Time, requests, retries int) {
 	bk := b.bucket(now)
 	bk.requests += requests
-	bk.retries += retries
+	bk.addRetries(now, retries)
 }
 
 // Take asks for one second attempt, a retry or a hedge. Queued says that work
@@ -67,7 +70,7 @@
 	if queued || b.Left(now) < 1 {
 		return false
 	}
-	b.bucket(now).retries++
+	b.bucket(now).addRetries(now, 1)
 	return true
 }
 
@@ -78,25 +81,35 @@
 	return b.cfg.Floor + int(b.cfg.Share*float64(requests)) - retries
 }
 
-// Sum returns the requests and second attempts within the window.
+// Sum returns the requests and second attempts within the window. Of a part that
+// has left it in part, the requests count no more, and the second attempts until
+// the latest of them is older than the window.
 func (b *Budget) Sum(now time.Time) (requests, retries int) {
-	for i := range b.ring {
-		if age := now.Sub(b.ring[i].start); age >= window || age < 0 {
-			continue
+	for _, bk := range b.ring {
+		if now.Sub(bk.start) < window {
+			requests += bk.requests
+		}
+		if now.Sub(bk.lastRetry) < window {
+			retries += bk.retries
 		}
-		requests += b.ring[i].requests
-		retries += b.ring[i].retries
 	}
 	return requests, retries
 }
 
+func (bk *bucket) addRetries(now time.Time, n int) {
+	if n > 0 {
+		bk.retries += n
+		bk.lastRetry = now
+	}
+}
+
 // bucket returns the part of the window that now falls into, emptied if it
 // last served an earlier round.
 func (b *Budget) bucket(now time.Time) *bucket {
 	start := now.Truncate(bucketWidth)
-	i := (start.UnixNano() / int64(bucketWidth)) % buckets
+	i := (start.UnixNano() / int64(bucketWidth)) % int64(len(b.ring))
 	if i < 0 {
-		i += buckets
+		i += int64(len(b.ring))
 	}
 	if !b.ring[i].start.Equal(start) {
 		b.ring[i] = bucket{start: start}
