retry: the window of a Budget runs on the steady clock

On hosts whose time of day was set, the retry budget forgot its window: the parts were found by the time of day, so that a jump left all second attempts outside the window, and one back kept requests in it for longer. Parts are numbered by the steady clock now.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -24,7 +24,8 @@
 
 // bucket counts what happened during one part of the window.
 type bucket struct {
-	start    time.Time
+	// part is its number since the first call, in units of bucketWidth.
+	part     int64
 	requests int
 	retries  int
 	// lastRetry is when the latest of the retries was granted.
@@ -35,6 +36,9 @@
 // use: its owner calls it from one goroutine and passes the time in.
 type Budget struct {
 	cfg Config
+	// origin is the time of the first call: parts are numbered from there by the
+	// steady clock, since the time of day may jump.
+	origin time.Time
 	// ring has one part more than the window: the oldest has left it only in part.
 	ring [buckets + 1]bucket
 }
@@ -85,8 +89,9 @@
 // has left it in part, the requests count no more, and the second attempts until
 // the latest of them is older than the window.
 func (b *Budget) Sum(now time.Time) (requests, retries int) {
+	current := b.part(now)
 	for _, bk := range b.ring {
-		if now.Sub(bk.start) < window {
+		if current-bk.part < buckets {
 			requests += bk.requests
 		}
 		if now.Sub(bk.lastRetry) < window {
@@ -103,16 +108,21 @@
 	}
 }
 
+// part returns the number of the part of the time that now falls into.
+func (b *Budget) part(now time.Time) int64 {
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	return int64(now.Sub(b.origin) / bucketWidth)
+}
+
 // bucket returns the part of the window that now falls into, emptied if it
 // last served an earlier round.
 func (b *Budget) bucket(now time.Time) *bucket {
-	start := now.Truncate(bucketWidth)
-	i := (start.UnixNano() / int64(bucketWidth)) % int64(len(b.ring))
-	if i < 0 {
-		i += int64(len(b.ring))
-	}
-	if !b.ring[i].start.Equal(start) {
-		b.ring[i] = bucket{start: start}
+	part := b.part(now)
+	bk := &b.ring[part%int64(len(b.ring))]
+	if bk.part != part {
+		*bk = bucket{part: part}
 	}
-	return &b.ring[i]
+	return bk
 }
