integration: the chains name the service of an attempt

The line "attempt ended" has the service since, between the request and the target, where two tests of chains expected nothing. They failed since then and now ask for the service, too.

--- a/integration/chain_test.go
+++ b/integration/chain_test.go
@@ -111,7 +111,7 @@
 	qt.Assert(t, f.send(entry, "POST", "book", "booked").StatusCode, qt.Equals, 502)
 	f.checkChain("booked",
 		`(relay lost|home does not answer) \(.*`+home,
-		`attempt ended \(.*request booked; target i-book-\d; verdict reset`,
+		`attempt ended \(.*request booked; service book; target i-book-\d; verdict reset`,
 		`answered \(.*outcome unknown; .*request booked; .*status 502; target i-book-\d`)
 }
 
@@ -127,6 +127,6 @@
 	qt.Assert(t, status >= 500, qt.IsTrue, qt.Commentf("status %d", status))
 	f.checkChain("gray",
 		`target i-look-\d#\w+ of service look changed its state \(from serving to suspected\).*rule belief.* ended .* ago: reset`,
-		`attempt ended \(.*home (host-\d|none); .*request gray; target i-look-\d; verdict reset`,
+		`attempt ended \(.*home (host-\d|none); .*request gray; service look; target i-look-\d; verdict reset`,
 		`answered \(.*request gray; .*status 50`)
 }
