gateway: second attempts take tokens that hosts issue and that expire

Cause: the home of a service granted from a window of its own, and told the other relays on its list what it had counted. Each of these then knew all requests and could spend all that they allow, and each home had the fixed part (65% of it, 29% after a restart) beside that.

Now nobody has to know what others granted. The host that takes a request issues a fraction of a token for it, and by time its equal part of the fixed tokens; they go with its first question to whoever chooses the target, once, expire after a quarter of the window, and a second attempt takes one. What homes, restarts and cuts do to tokens only destroys them, so that the sum stays within what was issued (docs/design/retry-bound.md). homes.Counts is gone. The window comes from the settings.

In place of the part of TestRetryBudgetIsOne that had another home's counts are TestTokensGoToOneHomeOnly and that test with tokens of all nodes.

--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -8,6 +8,7 @@
 	"filbertmill.example/outcome"
 	"filbertmill.example/poison"
 	"filbertmill.example/pool"
+	"filbertmill.example/retry"
 )
 
 // Repeat says why an attempt follows an earlier one of the same request.
@@ -66,6 +67,8 @@
 	Avoid []TargetHash `cbor:"13,keyasint,omitempty"`
 	// AvailabilityZone is where the node runs.
 	AvailabilityZone string `cbor:"14,keyasint"`
+	// Deposit holds the retry tokens that the attempt brings along.
+	Deposit retry.Deposit `cbor:"17,keyasint,omitempty"`
 	// Fingerprint identifies requests that are the same to a target.
 	Fingerprint poison.Fingerprint `cbor:"11,keyasint"`
 }
--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -10,7 +10,6 @@
 	"filbertmill.example/gateway/replica"
 	"filbertmill.example/poison"
 	"filbertmill.example/pool"
-	"filbertmill.example/retry"
 )
 
 const (
@@ -28,11 +27,8 @@
 	// FloorShare is the share of a service's slots below which no ejection may
 	// take its healthy capacity.
 	FloorShare float64
-	// Retries bounds the second attempts that this Loop grants.
-	Retries retry.Config
-	// Restarted says that the Loop may follow another one, whose counts it does
-	// not know.
-	Restarted bool
+	// TokenLife is how long a retry token is good for a second attempt.
+	TokenLife time.Duration
 	// Seed makes ties repeatable.
 	Seed uint64
 	// Log receives the decisions.
@@ -56,8 +52,9 @@
 	broken   *broken
 	lastID   pool.RequestID
 	swept    time.Time
-	started  time.Time
 	early    []early
+	// suspended is the time that the host has been suspended, as last seen.
+	suspended time.Duration
 }
 
 // New returns a Loop; Run makes it work.
@@ -71,7 +68,8 @@
 		services: make(map[string]*service),
 		poison:   poison.NewTracker(poison.DefaultConfig()),
 		broken:   newBroken(),
-		started:  time.Now(),
+
+		suspended: suspendedTime(),
 	}
 }
 
@@ -171,28 +169,6 @@
 	l.send(func(now time.Time) { l.service(r.Service, now).finish(now, r) })
 }
 
-// RetryCount is what a home has counted of a service since it last told.
-type RetryCount struct {
-	Service  string `cbor:"1,keyasint"`
-	Requests int    `cbor:"2,keyasint"`
-	Retries  int    `cbor:"3,keyasint"`
-}
-
-// TakeRetryCounts returns what was counted since the last call.
-func (l *Loop) TakeRetryCounts() []RetryCount {
-	return ask(l, func(time.Time) []RetryCount {
-		var list []RetryCount
-		for name, s := range l.services {
-			if c := s.counted; c.Requests > 0 || c.Retries > 0 {
-				c.Service = name
-				list = append(list, c)
-				s.counted = RetryCount{}
-			}
-		}
-		return list
-	})
-}
-
 // ask runs a question in the Loop's goroutine and returns the answer, or the
 // zero value once the Loop has ended.
 func ask[T any](l *Loop, question func(now time.Time) T) T {
@@ -208,16 +184,6 @@
 	return none
 }
 
-// AddRetryCounts takes what another home has counted: the budget is one for the
-// fleet, whoever is the home.
-func (l *Loop) AddRetryCounts(list []RetryCount) {
-	l.send(func(now time.Time) {
-		for _, c := range list {
-			l.service(c.Service, now).retries.Add(now, c.Requests, c.Retries)
-		}
-	})
-}
-
 // Snapshots returns the state of all Schedulers.
 func (l *Loop) Snapshots() []pool.Snapshot {
 	return ask(l, func(now time.Time) []pool.Snapshot {
--- /dev/null
+++ b/gateway/balance/second.go
@@ -0,0 +1,87 @@
+package balance
+
+import (
+	"time"
+
+	"filbertmill.example/outcome"
+)
+
+const (
+	// quietTime is the time without a question after which a Loop begins anew to
+	// serve a service.
+	quietTime = 3 * time.Second
+	// holdMax is how long a second attempt waits for a target on one token: the
+	// rest of retry.DeliveryTime is for the way to it.
+	holdMax = 500 * time.Millisecond
+)
+
+// second says whether an attempt brings its request to a further target.
+func (a *Attempt) second() bool { return a.Repeat != First && a.Repeat != Redirected }
+
+// mayRepeat takes the token of a second attempt. A hedge has none while work
+// waits: it would take the place of a first attempt.
+func (s *service) mayRepeat(now time.Time, a Attempt) bool {
+	if a.Repeat == Hedge && s.sched.Queued() > 0 {
+		s.noteSecond(now, a, secondQueued)
+		return false
+	}
+	if !s.takeToken(now) {
+		s.noteSecond(now, a, secondSpent)
+		return false
+	}
+	s.loop.stats.add(s.name, secondGranted)
+	return true
+}
+
+// takeToken takes a token, unless the host was suspended: the tokens may have
+// expired meanwhile, which the clock does not show.
+func (s *service) takeToken(now time.Time) bool {
+	if suspended := suspendedTime(); suspended > s.loop.suspended+suspendMin {
+		s.loop.cfg.Log.Warn("the host was suspended; retry tokens are dropped", "suspended_ms", (suspended - s.loop.suspended).Milliseconds())
+		s.loop.suspended = suspended
+		for _, other := range s.loop.services {
+			other.retries.Clear()
+		}
+	}
+	return s.retries.Take(now)
+}
+
+// renewHeld has second attempts that still wait for a target go on with a new
+// token, or gives them up: their first one may count in no later window.
+func (s *service) renewHeld(now time.Time) {
+	for len(s.held) > 0 {
+		id := s.held[0]
+		o := s.open[id]
+		waits := o != nil && o.target == ""
+		if waits && now.Sub(o.tokenTaken) < holdMax {
+			return
+		}
+		s.held = s.held[1:]
+		switch {
+		case !waits:
+		case s.takeToken(now):
+			o.tokenTaken = now
+			s.held = append(s.held, id)
+		default:
+			s.noteSecond(now, o.Attempt, secondSpent)
+			s.forget(id)
+			s.sched.Cancel(now, id)
+			o.reply(Grant{Reason: outcome.ReasonNoTarget})
+		}
+	}
+}
+
+// noteAsked logs when the Loop begins to serve the service.
+func (s *service) noteAsked(now time.Time) {
+	if s.asked.IsZero() || now.Sub(s.asked) >= quietTime {
+		s.loop.cfg.Log.Info("serving a service", "service", s.name, "left", s.retries.Left(now))
+	}
+	s.asked = now
+}
+
+// noteSecond logs and counts a second attempt that is not granted.
+func (s *service) noteSecond(now time.Time, a Attempt, cause string) {
+	s.loop.stats.add(s.name, cause)
+	s.loop.cfg.Log.Info("second attempt refused", "cause", cause, "request", a.Request, "service", s.name,
+		"left", s.retries.Left(now), "queued", s.sched.Queued())
+}
--- /dev/null
+++ b/gateway/balance/second_test.go
@@ -0,0 +1,87 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/outcome"
+	"filbertmill.example/retry"
+)
+
+// tokens returns a Deposit of whole tokens.
+func tokens(n int) retry.Deposit { return retry.Deposit{Earned: retry.Tokens(n) * retry.Token} }
+
+// TestRetryBudgetIsOne grants second attempts to all nodes together, as many as
+// their questions brought tokens for.
+func TestRetryBudgetIsOne(t *testing.T) {
+	l := newLoop(20)
+	for i := range uint64(10) {
+		submit(l, epoch, Attempt{ID: ID{Node: i}, Deposit: tokens(1)})
+	}
+	granted := 0
+	for i := range uint64(50) {
+		if submit(l, epoch, Attempt{ID: ID{Node: i, Number: 1}, Repeat: AfterFailure}).Target != "" {
+			granted++
+		}
+	}
+	qt.Check(t, granted, qt.Equals, 10)
+	for i := range uint64(50) {
+		a := Attempt{ID: ID{Node: i, Number: 2}, Repeat: AfterRefusal}
+		if i == 20 {
+			a.Deposit = tokens(5)
+		}
+		if submit(l, epoch, a).Target != "" {
+			granted++
+		}
+	}
+	qt.Check(t, granted, qt.Equals, 15)
+	qt.Check(t, submit(l, epoch, Attempt{ID: ID{Node: 1, Number: 3}, Repeat: Redirected}).Target, qt.Not(qt.Equals), "")
+}
+
+// TestQueuedSecondAttemptNeedsATokenAtItsStart guards against second attempts
+// that wait for a slot and reach their target in a later window than the one in
+// which they were counted.
+func TestQueuedSecondAttemptNeedsATokenAtItsStart(t *testing.T) {
+	l := newLoop(1)
+	for i := range uint64(4) {
+		qt.Assert(t, submit(l, epoch, Attempt{ID: ID{Number: i}}).Target, qt.Equals, "t0")
+	}
+	s := l.service("s", epoch)
+	replies := make(map[uint64]Grant)
+	for i := range uint64(3) {
+		a := Attempt{ID: ID{Number: 10 + i}, Service: "s", Route: "r", Repeat: AfterFailure, Deposit: tokens(1), TimeLeft: time.Minute, DueLeft: time.Minute}
+		s.submit(epoch, a, func(g Grant) { replies[i] = g })
+	}
+	s.tick(epoch.Add(holdMax - time.Millisecond))
+	qt.Assert(t, replies, qt.HasLen, 0)
+	// One more token has come for the three.
+	s.retries.Add(epoch.Add(holdMax), tokens(1))
+	s.tick(epoch.Add(holdMax))
+	qt.Assert(t, replies, qt.HasLen, 2)
+	qt.Check(t, replies[1].Reason, qt.Equals, outcome.ReasonNoTarget)
+	s.finish(epoch.Add(holdMax), Report{ID: ID{Number: 0}, Service: "s"})
+	qt.Check(t, replies[0].Target, qt.Equals, "t0")
+}
+
+// TestHedgesWaitForNobody grants no hedge while work is queued.
+func TestHedgesWaitForNobody(t *testing.T) {
+	l := newLoop(1)
+	for i := range uint64(5) {
+		submit(l, epoch, Attempt{ID: ID{Number: i}, Deposit: tokens(1)})
+	}
+	qt.Check(t, l.service("s", epoch).sched.Queued(), qt.Equals, 1)
+	qt.Check(t, submit(l, epoch, Attempt{ID: ID{Number: 9}, Repeat: Hedge}).Reason, qt.Equals, outcome.ReasonNoTarget)
+	qt.Check(t, l.service("s", epoch).retries.Left(epoch), qt.Equals, 5)
+}
+
+// TestTokensAreDroppedAfterASuspension guards against tokens that outlive their
+// time because the steady clock stood still.
+func TestTokensAreDroppedAfterASuspension(t *testing.T) {
+	l := newLoop(2)
+	submit(l, epoch, Attempt{ID: ID{Number: 1}, Deposit: tokens(5)})
+	l.suspended -= time.Second
+	qt.Check(t, submit(l, epoch, Attempt{ID: ID{Number: 2}, Repeat: AfterFailure}).Target, qt.Equals, "")
+	qt.Check(t, submit(l, epoch, Attempt{ID: ID{Number: 3}, Repeat: AfterFailure, Deposit: tokens(1)}).Target, qt.Not(qt.Equals), "")
+}
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -17,13 +17,6 @@
 	// queueLimit bounds the waiting attempts of one service; deadlines refuse
 	// most long before.
 	queueLimit = 2048
-	// restartTime is the window of the retry budget. RestartShare is the part of
-	// its fixed second attempts that a Loop grants which has just started.
-	restartTime  = 10 * time.Second
-	RestartShare = 0.45
-	// quietTime is the time without a question after which a Loop begins anew to
-	// serve a service.
-	quietTime = 3 * time.Second
 )
 
 // service is the state of one service; it is the Delegate of its Scheduler.
@@ -31,11 +24,12 @@
 	loop    *Loop
 	name    string
 	sched   pool.Steered
-	retries *retry.Budget
-	// counted is what was granted and not yet told to other homes.
-	counted RetryCount
-	ids     map[ID]pool.RequestID
-	open    map[pool.RequestID]*open
+	retries *retry.Bucket
+	// held are the second attempts that may still wait for a target, in the
+	// order in which their tokens were taken.
+	held []pool.RequestID
+	ids  map[ID]pool.RequestID
+	open map[pool.RequestID]*open
 	// asked is when an attempt was last submitted.
 	asked time.Time
 }
@@ -48,13 +42,15 @@
 	target    string
 	submitted time.Time
 	started   time.Time
+	// tokenTaken is when the token of a second attempt was taken.
+	tokenTaken time.Time
 }
 
 func newService(l *Loop, name string, now time.Time) *service {
 	s := &service{
 		loop:    l,
 		name:    name,
-		retries: retry.NewBudget(l.retryConfig(now)),
+		retries: retry.NewBucket(l.cfg.TokenLife),
 		ids:     make(map[ID]pool.RequestID),
 		open:    make(map[pool.RequestID]*open),
 	}
@@ -93,15 +89,6 @@
 	s.sched.SetTargets(now, targets)
 }
 
-// retryConfig returns the bounds of the retry budgets.
-func (l *Loop) retryConfig(now time.Time) retry.Config {
-	cfg := l.cfg.Retries
-	if l.cfg.Restarted && now.Sub(l.started) < restartTime {
-		cfg.Floor = int(float64(cfg.Floor) * RestartShare)
-	}
-	return cfg
-}
-
 func (s *service) submit(now time.Time, a Attempt, reply func(Grant)) {
 	if e, refuse := s.loop.poison.Check(now, a.Fingerprint); refuse {
 		s.loop.cfg.Log.Info("request refused: requests like it crash targets",
@@ -109,23 +96,18 @@
 		reply(Grant{Reason: outcome.ReasonPoison, RetryAfter: e.Until.Sub(now)})
 		return
 	}
-	s.retries.SetConfig(s.loop.retryConfig(now))
+	s.retries.Add(now, a.Deposit)
 	s.noteAsked(now)
-	queued := a.Repeat == Hedge && s.sched.Queued() > 0
-	if a.Repeat == First {
-		s.retries.Request(now)
-		s.counted.Requests++
-	} else if a.Repeat != Redirected && !s.retries.Take(now, queued) {
-		s.refuseSecond(now, a, queued)
+	if a.second() && !s.mayRepeat(now, a) {
 		reply(Grant{Reason: outcome.ReasonNoTarget})
 		return
-	} else if a.Repeat != Redirected {
-		s.counted.Retries++
-		s.loop.stats.add(s.name, secondGranted)
 	}
 	s.loop.lastID++
 	id := s.loop.lastID
-	o := &open{Attempt: a, deadline: now.Add(a.TimeLeft), reply: reply, submitted: now}
+	if a.second() {
+		s.held = append(s.held, id)
+	}
+	o := &open{Attempt: a, deadline: now.Add(a.TimeLeft), reply: reply, submitted: now, tokenTaken: now}
 	s.open[id] = o
 	s.ids[a.ID] = id
 	s.sched.Submit(now, pool.Request{
@@ -136,27 +118,6 @@
 	})
 }
 
-// noteAsked logs when the Loop begins to serve the service, with what it knows.
-func (s *service) noteAsked(now time.Time) {
-	if s.asked.IsZero() || now.Sub(s.asked) >= quietTime {
-		requests, retries := s.retries.Sum(now)
-		s.loop.cfg.Log.Info("serving a service", "service", s.name, "requests", requests, "second_attempts", retries,
-			"left", s.retries.Left(now))
-	}
-	s.asked = now
-}
-
-// refuseSecond logs and counts a second attempt that is not granted.
-func (s *service) refuseSecond(now time.Time, a Attempt, queued bool) {
-	cause := secondSpent
-	if queued {
-		cause = secondQueued
-	}
-	s.loop.stats.add(s.name, cause)
-	s.loop.cfg.Log.Info("second attempt refused", "cause", cause, "request", a.Request, "service", s.name,
-		"left", s.retries.Left(now), "queued", s.sched.Queued())
-}
-
 // names returns the names of the service's targets with the given hashes.
 func (s *service) names(hashes []TargetHash) []string {
 	if len(hashes) == 0 {
@@ -242,6 +203,7 @@
 
 // tick does what is due and returns the time until more is.
 func (s *service) tick(now time.Time) time.Duration {
+	s.renewHeld(now)
 	next := s.sched.Next()
 	if !next.IsZero() && !next.After(now) {
 		s.sched.Tick(now)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -83,6 +83,8 @@
 	// confirmed this node's copy.
 	polled  time.Time
 	storeAt time.Time
+	// listedAt is when this node first saw its own registration.
+	listedAt time.Time
 }
 
 // outage is a relay that failed.
--- /dev/null
+++ b/gateway/follow/sharers_test.go
@@ -0,0 +1,60 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"filbertmill.example/fleet/control"
+	"filbertmill.example/gateway/replica"
+	"filbertmill.example/platform"
+)
+
+// newLone returns the follower of a node named n0 that does not run, and what
+// registers nodes in its copy.
+func newLone(t *testing.T) (f *Follower, register func(names ...string)) {
+	t.Helper()
+	transport, err := control.New(control.Config{Name: "n0", Key: []byte("0123456789abcdef")})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = transport.Close() })
+	r := replica.New(hclog.NewNullLogger())
+	f = New(Config{Replica: r, Transport: transport, Log: hclog.NewNullLogger(), Self: replica.Node{Name: "n0"}})
+	revision := platform.Revision(0)
+	return f, func(names ...string) {
+		for _, name := range names {
+			revision++
+			n := replica.Node{Name: name, ControlAddress: name}
+			r.Apply([]platform.Item{{Key: n.Key(), Value: n.Encode(), Revision: revision}}, revision)
+		}
+	}
+}
+
+// TestPartsOfWhatIsSharedNeverAddUpToMore guards against a bound for the fleet
+// that is passed because nodes that join, or that are cut off, take parts that
+// others do not know of.
+func TestPartsOfWhatIsSharedNeverAddUpToMore(t *testing.T) {
+	c := qt.New(t)
+	f, register := newLone(t)
+	now := time.Now()
+	f.noteStore(now)
+	c.Check(f.Sharers(now), qt.Equals, 0, qt.Commentf("not registered"))
+	register("n1", "n2")
+	c.Check(f.Sharers(now), qt.Equals, 0, qt.Commentf("not registered"))
+	register("n0")
+	c.Check(f.Sharers(now), qt.Equals, 0, qt.Commentf("the others may not know it yet"))
+	now = now.Add(knownTime - time.Millisecond)
+	c.Check(f.Sharers(now), qt.Equals, 0, qt.Commentf("the others may not know it yet"))
+	now = now.Add(time.Millisecond)
+	f.noteStore(now)
+	c.Check(f.Sharers(now), qt.Equals, 3)
+	register("n3")
+	c.Check(f.Sharers(now), qt.Equals, 4)
+	c.Check(f.Sharers(now.Add(knownTime)), qt.Equals, 8, qt.Commentf("cut off: as many may have joined"))
+
+	f.feeds["n1"] = &feed{heard: now.Add(knownTime), age: time.Second, cancel: func() {}}
+	c.Check(f.Sharers(now.Add(knownTime)), qt.Equals, 4, qt.Commentf("a relay confirms the copy"))
+	f.feeds["n1"].heard = time.Time{}
+	c.Check(f.Sharers(now.Add(knownTime)), qt.Equals, 8, qt.Commentf("a relay that has not answered confirms nothing"))
+}
--- a/gateway/homes/client.go
+++ b/gateway/homes/client.go
@@ -10,6 +10,7 @@
 	"filbertmill.example/gateway/balance"
 	"filbertmill.example/gateway/follow"
 	"filbertmill.example/gateway/replica"
+	"filbertmill.example/retry"
 )
 
 const (
@@ -36,6 +37,9 @@
 	Self      string
 	Relays    Relays
 	Transport *control.Transport
+	// Fleet and Retries say which retry tokens this node issues.
+	Fleet   Fleet
+	Retries retry.Bound
 	// Shared decides for the whole fleet where this node is a home, Alone for
 	// this node while no home answers.
 	Shared *balance.Loop
@@ -45,11 +49,14 @@
 
 // Client asks homes for targets.
 type Client struct {
-	cfg Config
+	cfg    Config
+	tokens tokens
 }
 
 // NewClient returns a Client.
-func NewClient(cfg Config) *Client { return &Client{cfg: cfg} }
+func NewClient(cfg Config) *Client {
+	return &Client{cfg: cfg, tokens: tokens{fleet: cfg.Fleet, issuer: retry.NewIssuer(cfg.Retries)}}
+}
 
 // Lease is the right to run an attempt on the granted target, or a refusal.
 type Lease struct {
@@ -70,6 +77,7 @@
 // none answers. It fails only with the context's error.
 func (c *Client) Acquire(ctx context.Context, a balance.Attempt) (Lease, error) {
 	start, left, due := time.Now(), a.TimeLeft, a.DueLeft
+	a.Deposit = c.tokens.deposit(a)
 	homes := follow.Homes(a.Service, c.cfg.Relays.Relays())
 	for _, h := range homes[:min(len(homes), homesTried)] {
 		a.TimeLeft, a.DueLeft = left-time.Since(start), due-time.Since(start)
@@ -82,6 +90,8 @@
 		}
 		c.cfg.Log.Warn("home does not answer", "home", h.Name, "service", a.Service, "request", a.Request, "error", err)
 		c.cfg.Relays.Suspect(h.Name)
+		// The home may have got the question: its tokens go nowhere else.
+		a.Deposit = retry.Deposit{}
 	}
 	a.TimeLeft, a.DueLeft = left-time.Since(start), due-time.Since(start)
 	return c.ask(ctx, c.cfg.Alone, a, "")
--- /dev/null
+++ b/gateway/homes/tokens_test.go
@@ -0,0 +1,109 @@
+package homes
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"filbertmill.example/config/dynamic"
+	"filbertmill.example/fleet/control"
+	"filbertmill.example/gateway/balance"
+	"filbertmill.example/gateway/follow"
+	"filbertmill.example/gateway/replica"
+	"filbertmill.example/platform"
+	"filbertmill.example/retry"
+)
+
+// fixedFleet is a Fleet of a number of hosts.
+type fixedFleet int
+
+func (f fixedFleet) Sharers(time.Time) int { return int(f) }
+
+// fixedRelays are relays that are never taken off the list.
+type fixedRelays []replica.Node
+
+func (r fixedRelays) Relays() []replica.Node { return r }
+func (r fixedRelays) Suspect(string)         {}
+
+// slowHome takes questions and does not answer them in time.
+type slowHome struct {
+	mu    sync.Mutex
+	taken []balance.Attempt
+}
+
+func newTransport(t *testing.T, name string) *control.Transport {
+	t.Helper()
+	tr, err := control.New(control.Config{Name: name, Key: fleetKey})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = tr.Close() })
+	return tr
+}
+
+var fleetKey = []byte("0123456789abcdef")
+
+// startSlowHome returns a home that only takes questions.
+func startSlowHome(t *testing.T, name string) (*slowHome, replica.Node) {
+	t.Helper()
+	h := &slowHome{}
+	tr := newTransport(t, name)
+	tr.Handle(kindSubmit, func(ctx context.Context, _ string, body []byte) (any, error) {
+		var a balance.Attempt
+		if err := control.Unmarshal(body, &a); err != nil {
+			return nil, err
+		}
+		h.mu.Lock()
+		h.taken = append(h.taken, a)
+		h.mu.Unlock()
+		time.Sleep(2 * callTimeout)
+		return balance.Grant{}, nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = tr.Serve(l) }()
+	return h, replica.Node{Name: name, AvailabilityZone: "a", ControlAddress: l.Addr().String()}
+}
+
+// TestTokensGoToOneHomeOnly guards against retry tokens that several homes hold
+// because the first one asked did not answer in time.
+func TestTokensGoToOneHomeOnly(t *testing.T) {
+	c := qt.New(t)
+	one, first := startSlowHome(t, "h1")
+	two, second := startSlowHome(t, "h2")
+	relays := fixedRelays(follow.Homes("s", []replica.Node{first, second}))
+	if relays[0].Name != "h1" {
+		one, two = two, one
+	}
+	bound := retry.Bound{Window: 10 * time.Second, Ratio: 1, Extra: 100}
+	alone := balance.New(balance.Config{TokenLife: bound.Life(), Log: hclog.NewNullLogger()})
+	go alone.Run(t.Context())
+	alone.SetView(&replica.View{
+		Config:  &dynamic.Config{},
+		Targets: map[string][]platform.Target{"s": {{ID: "t0", Service: "s", Slots: 9}}},
+	})
+	client := NewClient(Config{
+		Self: "n0", Relays: relays, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
+		Shared: alone, Alone: alone, Log: hclog.NewNullLogger(),
+	})
+	for i := range uint64(4) {
+		a := balance.Attempt{ID: balance.ID{Number: i}, Service: "s", Route: "r", TimeLeft: time.Minute, DueLeft: time.Minute}
+		lease, err := client.Acquire(t.Context(), a)
+		c.Assert(err, qt.IsNil)
+		c.Check(lease.Target, qt.Not(qt.Equals), "", qt.Commentf("no home answers"))
+	}
+	c.Assert(one.taken, qt.HasLen, 4)
+	c.Assert(two.taken, qt.HasLen, 4)
+	for i := range one.taken {
+		c.Check(one.taken[i].Deposit.Earned > 0, qt.IsTrue)
+		c.Check(two.taken[i].Deposit, qt.Equals, retry.Deposit{})
+	}
+	c.Check(one.taken[3].Deposit.Accrued > 0, qt.IsTrue, qt.Commentf("the host's part of the fixed second attempts"))
+	again := balance.Attempt{ID: balance.ID{Number: 9}, Service: "s", Route: "r", Repeat: balance.AfterFailure, TimeLeft: time.Minute, DueLeft: time.Minute}
+	lease, err := client.Acquire(t.Context(), again)
+	c.Assert(err, qt.IsNil)
+	c.Check(lease.Target, qt.Equals, "", qt.Commentf("this node has no tokens left"))
+}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -51,7 +51,6 @@
 	shared  *balance.Loop
 	alone   *balance.Loop
 	homes   *homes.Client
-	counts  *homes.Counts
 	targets *exchange.Client
 	// memory bounds the answers held; held has the holds of requests in work by
 	// *protocol.Request.
@@ -121,39 +120,23 @@
 		},
 		Seeds: s.Seeds, FirstStart: s.FirstStart,
 	})
-	n.shared = balance.New(n.balanceConfig(retry.Config{
-		Share: s.Bounds.RetryRatio * homeRetryShare, Floor: int(s.Bounds.RetryExtra * homeFloorShare),
-	}))
-	n.alone = balance.New(n.balanceConfig(retry.Config{Share: s.Bounds.RetryRatio * (1 - homeRetryShare)}))
+	retries := retry.Bound{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Extra: s.Bounds.RetryExtra}
+	cfg := balance.Config{
+		FloorShare: s.Bounds.FloorShare,
+		TokenLife:  retries.Life(),
+		Seed:       xxhash.Sum64String(s.Name),
+		Log:        n.log,
+		Stats:      n.stats.second,
+	}
+	n.shared, n.alone = balance.New(cfg), balance.New(cfg)
 	n.homes = homes.NewClient(homes.Config{
-		Self: s.Name, Relays: n.follower, Transport: n.transport, Shared: n.shared, Alone: n.alone, Log: n.log,
+		Self: s.Name, Relays: n.follower, Transport: n.transport, Fleet: n.follower, Retries: retries,
+		Shared: n.shared, Alone: n.alone, Log: n.log,
 	})
 	homes.Serve(n.shared, n.transport)
-	n.counts = homes.NewCounts(n.shared, n.transport, n.follower, s.Name, n.log)
 	return nil
 }
 
-func (n *Node) balanceConfig(retries retry.Config) balance.Config {
-	return balance.Config{
-		FloorShare: n.settings.Bounds.FloorShare,
-		Retries:    retries,
-		Restarted:  !n.settings.FirstStart,
-		Seed:       xxhash.Sum64String(n.settings.Name),
-		Log:        n.log,
-		Stats:      n.stats.second,
-	}
-}
-
-const (
-	// homeRetryShare is the part of the fleet's retry ratio that homes grant; the
-	// rest is left to nodes that no home answers.
-	homeRetryShare = 0.9
-	// homeFloorShare is the part of the fixed second attempts that homes grant,
-	// and balance.RestartShare of it what homes grant that have just started:
-	// if all were killed, nobody knows what was granted before.
-	homeFloorShare = 0.65
-)
-
 // fleetKey is the key by which nodes know each other. The platform hands out no
 // secret and no name of the deployment, and the store's address may differ from
 // node to node: the key keeps out what does not speak the protocol, not attackers.
@@ -169,7 +152,6 @@
 	tasks.Go(func() { n.alone.Run(work) })
 	tasks.Go(func() { n.follower.Run(work) })
 	tasks.Go(func() { n.spreadViews(work) })
-	tasks.Go(func() { n.counts.Run(work) })
 	go func() { failed <- n.callers.Run() }()
 	go func() { failed <- n.ready.run() }()
 	go func() { failed <- n.transport.Serve(n.control) }()
