--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -239,9 +239,14 @@
 	}()
 }
 
-// fail keeps a relay from being asked for a time that grows.
+// fail keeps a relay from being asked for a time that grows with each time that
+// it was asked in vain. What fails while it is not asked belongs to the failure
+// before: many questions may be open at a home that stops to answer.
 func (f *Follower) fail(name string, err error) {
 	o := f.down[name]
+	if o != nil && time.Now().Before(o.until) {
+		return
+	}
 	if o == nil {
 		o = &outage{}
 		f.down[name] = o
