balance: retry tokens age on their way to a home

A home that is overloaded reads questions seconds after they were sent.

Answers of a home now tell its clock, and a question says when it was sent by that clock, as the last answer lets its node estimate: never later than the true time. Tokens that come without it, or from another run of the home, are not taken.

--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -69,6 +69,10 @@
 	AvailabilityZone string `cbor:"14,keyasint"`
 	// Deposit holds the retry tokens that the attempt brings along.
 	Deposit retry.Deposit `cbor:"17,keyasint,omitempty"`
+	// SentAt is the Clock of the Loop that is asked, as the node knows it at the
+	// sending: never later than the true one. A Deposit without it is not taken:
+	// nobody can tell whether its tokens have expired on their way.
+	SentAt time.Duration `cbor:"18,keyasint,omitempty"`
 	// Fingerprint identifies requests that are the same to a target.
 	Fingerprint poison.Fingerprint `cbor:"11,keyasint"`
 }
@@ -98,6 +102,8 @@
 	// second attempts that the budget had left then.
 	Waited time.Duration `cbor:"7,keyasint,omitempty"`
 	Left   int           `cbor:"8,keyasint,omitempty"`
+	// Clock is that of the Loop at the answer.
+	Clock time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Report tells of the end of a granted attempt.
--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -26,9 +26,10 @@
 	// fleetAttempts is the number of targets that a request may go to.
 	fleetAttempts = 3
 	fleetStep     = 10 * time.Millisecond
-	// fleetDelay is how long tokens may take to a home, and a second attempt
-	// from there to its target.
-	fleetDelay = 400 * time.Millisecond
+	// fleetDelay is how long a second attempt may take to its target, and tokens
+	// usually to a home; overloadDelay is how long they may take to an overloaded one.
+	fleetDelay    = 400 * time.Millisecond
+	overloadDelay = 4 * time.Second
 	// fleetBurst is how many times the usual requests come in a burst.
 	fleetBurst = 3
 )
@@ -46,6 +47,8 @@
 	// lost says whether the tokens of a host's question are lost on their way
 	// to a home.
 	lost func() bool
+	// overloaded is a home that takes long to read what it is sent.
+	overloaded *Loop
 	// underway are the tokens that have not reached their home yet.
 	underway []delivery
 	// requests and seconds are the times of requests and of second attempts.
@@ -55,7 +58,8 @@
 
 // delivery is a Deposit on its way.
 type delivery struct {
-	at      time.Time
+	sent    time.Time
+	arrives time.Time
 	to      *Loop
 	deposit retry.Deposit
 }
@@ -101,16 +105,18 @@
 // deliver adds the tokens that have reached their home.
 func (f *fleet) deliver() {
 	f.underway = slices.DeleteFunc(f.underway, func(d delivery) bool {
-		arrived := !f.now.Before(d.at)
+		arrived := !f.now.Before(d.arrives)
 		if arrived {
-			d.to.service("s", f.now).retries.Add(f.now, d.deposit)
+			d.to.service("s", f.now).takeDeposit(f.now, Attempt{SentAt: d.sent.Sub(d.to.started), Deposit: d.deposit})
 		}
 		return arrived
 	})
 }
 
-// delay draws the time that something is on its way.
-func (f *fleet) delay() time.Duration { return time.Duration(f.rng.Int64N(int64(fleetDelay))) }
+// delay draws a time up to the longest.
+func (f *fleet) delay(longest time.Duration) time.Duration {
+	return time.Duration(f.rng.Int64N(int64(longest)))
+}
 
 // poisson draws a number of events of which mean are expected.
 func (f *fleet) poisson(mean float64) int {
@@ -142,13 +148,17 @@
 	f.ids++
 	id := ID{Number: f.ids}
 	if d := h.issuer.Issue(f.now, "s", repeat == First, fleetHosts); !f.lost() {
-		f.underway = append(f.underway, delivery{f.now.Add(f.delay()), l, d})
+		longest := fleetDelay
+		if l == f.overloaded {
+			longest = overloadDelay
+		}
+		f.underway = append(f.underway, delivery{f.now, f.now.Add(f.delay(longest)), l, d})
 	}
 	if submit(l, f.now, Attempt{ID: id, Repeat: repeat}).Target == "" {
 		return false
 	}
 	if repeat != First {
-		f.seconds = append(f.seconds, f.now.Add(f.delay()))
+		f.seconds = append(f.seconds, f.now.Add(f.delay(fleetDelay)))
 	}
 	l.service("s", f.now).finish(f.now, Report{ID: id, Service: "s", Verdict: pool.VerdictAnswered})
 	return true
@@ -219,6 +229,20 @@
 	f.checkBound(t, "a home a second")
 }
 
+// TestOverloadedHomesStayWithinTheRetryBound guards against tokens that a home
+// reads seconds after they were sent, and spends when it has caught up.
+func TestOverloadedHomesStayWithinTheRetryBound(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, 2)
+		f.run(10 * time.Second)
+		f.overloaded = f.homes[0]
+		f.run(5 * time.Second)
+		f.failing, f.overloaded = 1, nil
+		f.run(12 * time.Second)
+		f.checkBound(t, fmt.Sprintf("seed %d", seed))
+	}
+}
+
 // TestFleetStaysWithinTheRetryBound guards against second attempts beyond the
 // bound in random series of homes that start, end and overlap, hosts that start,
 // end and decide alone, and tokens that are lost.
@@ -240,7 +264,7 @@
 // disturb changes one thing in the fleet.
 func (f *fleet) disturb() {
 	host := f.rng.IntN(len(f.hosts))
-	switch f.rng.IntN(7) {
+	switch f.rng.IntN(9) {
 	case 0:
 		f.failing = []float64{0, 0.1, 0.5, 1}[f.rng.IntN(4)]
 	case 1:
@@ -258,6 +282,10 @@
 		f.hosts[host].home = home
 	case 5:
 		f.hosts[host].home = -1
+	case 7:
+		f.overloaded = f.homes[f.rng.IntN(len(f.homes))]
+	case 8:
+		f.overloaded = nil
 	case 6:
 		for i := range f.hosts {
 			f.hosts[i] = f.newHost()
--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -42,6 +42,7 @@
 type Loop struct {
 	cfg     Config
 	stats   *Stats
+	started time.Time
 	mailbox chan func(now time.Time)
 	done    chan struct{}
 
@@ -62,6 +63,7 @@
 	return &Loop{
 		cfg:      cfg,
 		stats:    cfg.Stats,
+		started:  time.Now(),
 		mailbox:  make(chan func(time.Time), mailboxSize),
 		done:     make(chan struct{}),
 		view:     &replica.View{},
@@ -73,6 +75,9 @@
 	}
 }
 
+// Clock returns the time since the Loop was made.
+func (l *Loop) Clock() time.Duration { return time.Since(l.started) }
+
 // Run works until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
--- a/gateway/balance/poison_test.go
+++ b/gateway/balance/poison_test.go
@@ -25,13 +25,14 @@
 		view.Targets["s"] = append(view.Targets["s"], platform.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4})
 	}
 	l.view = view
+	l.started = epoch.Add(-time.Second)
 	return l
 }
 
 // submit offers an attempt and returns the answer.
 func submit(l *Loop, now time.Time, a Attempt) Grant {
 	var got Grant
-	a.Service, a.Route = "s", "r"
+	a.Service, a.Route, a.SentAt = "s", "r", now.Sub(l.started)
 	a.TimeLeft, a.DueLeft = time.Second, time.Second
 	l.service("s", now).submit(now, a, func(g Grant) { got = g })
 	return got
--- a/gateway/balance/second.go
+++ b/gateway/balance/second.go
@@ -18,6 +18,15 @@
 // second says whether an attempt brings its request to a further target.
 func (a *Attempt) second() bool { return a.Repeat != First && a.Repeat != Redirected }
 
+// takeDeposit takes the tokens that an attempt brings along. Those of a message
+// that was long on its way, or waited here, are as old as it.
+func (s *service) takeDeposit(now time.Time, a Attempt) {
+	age := now.Sub(s.loop.started) - a.SentAt
+	if a.SentAt > 0 && age >= 0 {
+		s.retries.Add(now, a.Deposit, age)
+	}
+}
+
 // mayRepeat takes the token of a second attempt. A hedge has none while work
 // waits: it would take the place of a first attempt.
 func (s *service) mayRepeat(now time.Time, a Attempt) bool {
--- a/gateway/balance/second_test.go
+++ b/gateway/balance/second_test.go
@@ -51,13 +51,13 @@
 	s := l.service("s", epoch)
 	replies := make(map[uint64]Grant)
 	for i := range uint64(3) {
-		a := Attempt{ID: ID{Number: 10 + i}, Service: "s", Route: "r", Repeat: AfterFailure, Deposit: tokens(1), TimeLeft: time.Minute, DueLeft: time.Minute}
+		a := Attempt{ID: ID{Number: 10 + i}, Service: "s", Route: "r", Repeat: AfterFailure, SentAt: epoch.Sub(l.started), Deposit: tokens(1), TimeLeft: time.Minute, DueLeft: time.Minute}
 		s.submit(epoch, a, func(g Grant) { replies[i] = g })
 	}
 	s.tick(epoch.Add(holdMax - time.Millisecond))
 	qt.Assert(t, replies, qt.HasLen, 0)
 	// One more token has come for the three.
-	s.retries.Add(epoch.Add(holdMax), tokens(1))
+	s.retries.Add(epoch.Add(holdMax), tokens(1), 0)
 	s.tick(epoch.Add(holdMax))
 	qt.Assert(t, replies, qt.HasLen, 2)
 	qt.Check(t, replies[1].Reason, qt.Equals, outcome.ReasonNoTarget)
@@ -85,3 +85,29 @@
 	qt.Check(t, submit(l, epoch, Attempt{ID: ID{Number: 2}, Repeat: AfterFailure}).Target, qt.Equals, "")
 	qt.Check(t, submit(l, epoch, Attempt{ID: ID{Number: 3}, Repeat: AfterFailure, Deposit: tokens(1)}).Target, qt.Not(qt.Equals), "")
 }
+
+// TestTokensAgeOnTheirWay guards against tokens that outlive their time in the
+// messages that an overloaded home or a slow link holds back.
+func TestTokensAgeOnTheirWay(t *testing.T) {
+	life := testBound.Life()
+	for _, test := range []struct {
+		desc   string
+		sent   time.Duration
+		wait   time.Duration
+		expect bool
+	}{
+		{"at once", time.Minute, 0, true},
+		{"late", time.Minute, life / 2, true},
+		{"late, and used late", time.Minute - life/2, life / 2, false},
+		{"too late", time.Minute - life, 0, false},
+		{"from another run of the home", 2 * time.Minute, 0, false},
+		{"at an unknown time", 0, 0, false},
+	} {
+		l := newLoop(2)
+		arrived := l.started.Add(time.Minute)
+		s := l.service("s", arrived)
+		a := Attempt{ID: ID{Number: 1}, Service: "s", Route: "r", SentAt: test.sent, Deposit: tokens(1), TimeLeft: time.Minute, DueLeft: time.Minute}
+		s.submit(arrived, a, func(Grant) {})
+		qt.Check(t, s.retries.Left(arrived.Add(test.wait)) == 1, qt.Equals, test.expect, qt.Commentf(test.desc))
+	}
+}
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -96,7 +96,7 @@
 		reply(Grant{Reason: outcome.ReasonPoison, RetryAfter: e.Until.Sub(now)})
 		return
 	}
-	s.retries.Add(now, a.Deposit)
+	s.takeDeposit(now, a)
 	s.noteAsked(now)
 	if a.second() && !s.mayRepeat(now, a) {
 		reply(Grant{Reason: outcome.ReasonNoTarget})
--- a/gateway/homes/client.go
+++ b/gateway/homes/client.go
@@ -51,11 +51,16 @@
 type Client struct {
 	cfg    Config
 	tokens tokens
+	clocks clocks
 }
 
 // NewClient returns a Client.
 func NewClient(cfg Config) *Client {
-	return &Client{cfg: cfg, tokens: tokens{fleet: cfg.Fleet, issuer: retry.NewIssuer(cfg.Retries)}}
+	return &Client{
+		cfg:    cfg,
+		tokens: tokens{fleet: cfg.Fleet, issuer: retry.NewIssuer(cfg.Retries)},
+		clocks: clocks{read: make(map[string]reading)},
+	}
 }
 
 // Lease is the right to run an attempt on the granted target, or a refusal.
@@ -77,23 +82,24 @@
 // none answers. It fails only with the context's error.
 func (c *Client) Acquire(ctx context.Context, a balance.Attempt) (Lease, error) {
 	start, left, due := time.Now(), a.TimeLeft, a.DueLeft
-	a.Deposit = c.tokens.deposit(a)
+	tokens := allotment{tokens: &c.tokens}
 	homes := follow.Homes(a.Service, c.cfg.Relays.Relays())
 	for _, h := range homes[:min(len(homes), homesTried)] {
 		a.TimeLeft, a.DueLeft = left-time.Since(start), due-time.Since(start)
 		if h.Name == c.cfg.Self {
+			tokens.addTo(&a, c.cfg.Shared.Clock())
 			return c.ask(ctx, c.cfg.Shared, a, h.Name)
 		}
+		tokens.addTo(&a, c.clocks.estimate(h.Name))
 		lease, err := c.askHome(ctx, h, a)
 		if err == nil || ctx.Err() != nil {
 			return lease, ctx.Err()
 		}
 		c.cfg.Log.Warn("home does not answer", "home", h.Name, "service", a.Service, "request", a.Request, "error", err)
 		c.cfg.Relays.Suspect(h.Name)
-		// The home may have got the question: its tokens go nowhere else.
-		a.Deposit = retry.Deposit{}
 	}
 	a.TimeLeft, a.DueLeft = left-time.Since(start), due-time.Since(start)
+	tokens.addTo(&a, c.cfg.Alone.Clock())
 	return c.ask(ctx, c.cfg.Alone, a, "")
 }
 
@@ -116,6 +122,9 @@
 	ref := reference{a.Service, a.ID}
 	lease := Lease{Home: h.Name, finish: func(r balance.Report) { c.send(to, kindFinish, r) }}
 	err := c.call(ctx, to, kindSubmit, a, &lease.Grant)
+	if err == nil {
+		c.clocks.note(h.Name, lease.Clock)
+	}
 	for err == nil && lease.Queued {
 		lease.Grant = balance.Grant{}
 		err = c.call(ctx, to, kindAwait, ref, &lease.Grant)
--- a/gateway/homes/server.go
+++ b/gateway/homes/server.go
@@ -92,6 +92,7 @@
 	defer timer.Stop()
 	select {
 	case g := <-q.reply:
+		g.Clock = s.loop.Clock()
 		return g
 	case <-timer.C:
 	case <-ctx.Done():
@@ -104,7 +105,7 @@
 			s.loop.Cancel(ref.Service, ref.ID)
 		}
 	})
-	return balance.Grant{Queued: true}
+	return balance.Grant{Queued: true, Clock: s.loop.Clock()}
 }
 
 // take removes a queued attempt, or returns nil.
--- a/gateway/homes/tokens_test.go
+++ b/gateway/homes/tokens_test.go
@@ -89,6 +89,9 @@
 		Self: "n0", Relays: relays, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
 		Shared: alone, Alone: alone, Log: hclog.NewNullLogger(),
 	})
+	for _, h := range relays {
+		client.clocks.note(h.Name, time.Second)
+	}
 	for i := range uint64(4) {
 		a := balance.Attempt{ID: balance.ID{Number: i}, Service: "s", Route: "r", TimeLeft: time.Minute, DueLeft: time.Minute}
 		lease, err := client.Acquire(t.Context(), a)
@@ -102,8 +105,26 @@
 		c.Check(two.taken[i].Deposit, qt.Equals, retry.Deposit{})
 	}
 	c.Check(one.taken[3].Deposit.Accrued > 0, qt.IsTrue, qt.Commentf("the host's part of the fixed second attempts"))
+	c.Check(two.taken[0].SentAt >= time.Second, qt.IsTrue)
 	again := balance.Attempt{ID: balance.ID{Number: 9}, Service: "s", Route: "r", Repeat: balance.AfterFailure, TimeLeft: time.Minute, DueLeft: time.Minute}
 	lease, err := client.Acquire(t.Context(), again)
 	c.Assert(err, qt.IsNil)
 	c.Check(lease.Target, qt.Equals, "", qt.Commentf("this node has no tokens left"))
 }
+
+// TestClockOfAHomeIsNeverAhead guards against tokens that seem younger than they
+// are to the home that gets them.
+func TestClockOfAHomeIsNeverAhead(t *testing.T) {
+	c := qt.New(t)
+	k := clocks{read: make(map[string]reading)}
+	c.Check(k.estimate("h1"), qt.Equals, time.Duration(0), qt.Commentf("not known"))
+	home := balance.New(balance.Config{Log: hclog.NewNullLogger()})
+	for range 5 {
+		shown := home.Clock()
+		time.Sleep(time.Millisecond)
+		k.note("h1", shown)
+		time.Sleep(time.Millisecond)
+		estimate := k.estimate("h1")
+		c.Check(estimate > shown && estimate <= home.Clock(), qt.IsTrue)
+	}
+}
--- a/retry/bound.go
+++ b/retry/bound.go
@@ -15,8 +15,8 @@
 	// life lets more second attempts follow each other at once after a calm time,
 	// and fewer go on.
 	lifeShare = 0.25
-	// DeliveryTime bounds the time that a token is not in a Bucket: on its way to
-	// one, and from there to the arrival of its attempt at a target.
+	// DeliveryTime bounds the time from the taking of a token to the arrival of its
+	// attempt at a target.
 	DeliveryTime = time.Second
 )
 
@@ -24,8 +24,8 @@
 func (b Bound) Life() time.Duration { return time.Duration(lifeShare * float64(b.Window)) }
 
 // issuedShare is the part of the bound that is issued: the attempts that arrive
-// in a window have tokens that were issued in it, or up to a token's life and its
-// delivery before.
+// in a window have tokens that were issued in it, or up to a token's life and the
+// delivery of the attempt before.
 func (b Bound) issuedShare() float64 {
 	if b.Window <= 0 {
 		return 0
--- a/retry/bucket.go
+++ b/retry/bucket.go
@@ -33,14 +33,23 @@
 	return &Bucket{width: max(life/bucketParts, 1)}
 }
 
-// Add takes a Deposit that was issued just now.
-func (b *Bucket) Add(now time.Time, d Deposit) {
+// Add takes a Deposit that was issued some time ago.
+func (b *Bucket) Add(now time.Time, d Deposit, age time.Duration) {
 	current := b.part(now)
-	b.batch(current).tokens += d.Earned
+	part := b.part(now.Add(-age))
+	b.put(current, part, d.Earned)
 	// What accrued over a time is as old as if it had come evenly.
-	for over, age := d.Over, int64(1); over > 0 && age < bucketParts; over, age = over-b.width, age+1 {
+	for over := d.Over; over > 0 && current-part < bucketParts; over -= b.width {
+		part--
 		share := float64(min(over, b.width)) / float64(d.Over)
-		b.batch(current - age).tokens += Tokens(share * float64(d.Accrued))
+		b.put(current, part, Tokens(share*float64(d.Accrued)))
+	}
+}
+
+// put adds tokens to a part, unless they have expired.
+func (b *Bucket) put(current, part int64, tokens Tokens) {
+	if current-part < bucketParts {
+		b.batch(part).tokens += tokens
 	}
 }
 
@@ -75,15 +84,18 @@
 // Clear drops all tokens.
 func (b *Bucket) Clear() { b.ring = [bucketParts]batch{} }
 
-// part returns the number of the part of the time that now falls into. None is
-// less than bucketParts, so that a life before the first call has a number.
-func (b *Bucket) part(now time.Time) int64 {
+// part returns the number of the part of the time that a time falls into. The
+// first call is at bucketParts, so that the life before it has numbers; all that
+// was earlier has 0.
+func (b *Bucket) part(at time.Time) int64 {
 	if b.origin.IsZero() {
-		b.origin = now
+		b.origin = at
 	}
-	return bucketParts + int64(now.Sub(b.origin)/b.width)
+	return int64(max(at.Sub(b.origin)+b.life(), 0) / b.width)
 }
 
+func (b *Bucket) life() time.Duration { return b.width * bucketParts }
+
 // batch returns a part of the time, emptied if it last served an earlier round.
 func (b *Bucket) batch(part int64) *batch {
 	bt := &b.ring[part%bucketParts]
--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -29,19 +29,19 @@
 func TestTokensAreTakenOnceAndExpire(t *testing.T) {
 	c := qt.New(t)
 	b := retry.NewBucket(2 * time.Second)
-	b.Add(start, deposit(3))
+	b.Add(start, deposit(3), 0)
 	c.Check(b.Left(start), qt.Equals, 3)
 	c.Check(b.Take(start), qt.IsTrue)
 	c.Check(takeAll(b, start.Add(1800*time.Millisecond)), qt.Equals, 2)
-	b.Add(start.Add(2*time.Second), deposit(2))
+	b.Add(start.Add(2*time.Second), deposit(2), 0)
 	c.Check(takeAll(b, start.Add(4*time.Second)), qt.Equals, 0)
 }
 
 func TestOldestTokensAreTakenFirst(t *testing.T) {
 	c := qt.New(t)
 	b := retry.NewBucket(2 * time.Second)
-	b.Add(start, deposit(1))
-	b.Add(start.Add(time.Second), deposit(1))
+	b.Add(start, deposit(1), 0)
+	b.Add(start.Add(time.Second), deposit(1), 0)
 	c.Check(b.Take(start.Add(time.Second)), qt.IsTrue)
 	c.Check(b.Left(start.Add(2500*time.Millisecond)), qt.Equals, 1)
 }
@@ -49,7 +49,7 @@
 func TestAccruedTokensAreAsOldAsTheirTime(t *testing.T) {
 	c := qt.New(t)
 	b := retry.NewBucket(2 * time.Second)
-	b.Add(start, retry.Deposit{Accrued: 20 * retry.Token, Over: 2 * time.Second})
+	b.Add(start, retry.Deposit{Accrued: 20 * retry.Token, Over: 2 * time.Second}, 0)
 	c.Check(b.Left(start) >= 18 && b.Left(start) <= 20, qt.IsTrue, qt.Commentf("%d", b.Left(start)))
 	half := b.Left(start.Add(time.Second))
 	c.Check(half >= 8 && half <= 10, qt.IsTrue, qt.Commentf("%d", half))
@@ -65,14 +65,14 @@
 		var held []time.Time
 		origin := start.Add(time.Duration(rng.Int64N(int64(time.Second))))
 		now := origin
-		b.Add(origin, retry.Deposit{})
+		b.Add(origin, retry.Deposit{}, 0)
 		for range 500 {
 			now = now.Add(time.Duration(rng.Int64N(1 + rng.Int64N(int64(life)))))
 			for len(held) > 0 && now.Sub(held[0]) >= life {
 				held = held[1:]
 			}
 			for range rng.IntN(3) {
-				b.Add(now, deposit(1))
+				b.Add(now, deposit(1), 0)
 				held = append(held, origin.Add(now.Sub(origin).Truncate(life/20)))
 			}
 			qt.Assert(t, b.Left(now), qt.Equals, len(held), qt.Commentf("seed %d", seed))
