homes: tokens of the first question to a home follow its answer

The clock in the home's answer now proves that it took no tokens, and they are sent then, as old as they are. The same holds for a home that was restarted, whose clock is behind. TestFirstQuestionToAHomeBringsTokens fails without the message.

--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -107,7 +107,7 @@
 	f.underway = slices.DeleteFunc(f.underway, func(d delivery) bool {
 		arrived := !f.now.Before(d.arrives)
 		if arrived {
-			d.to.service("s", f.now).takeDeposit(f.now, Attempt{SentAt: d.sent.Sub(d.to.started), Deposit: d.deposit})
+			d.to.service("s", f.now).takeDeposit(f.now, d.deposit, d.sent.Sub(d.to.started))
 		}
 		return arrived
 	})
--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -10,6 +10,7 @@
 	"filbertmill.example/gateway/replica"
 	"filbertmill.example/poison"
 	"filbertmill.example/pool"
+	"filbertmill.example/retry"
 )
 
 const (
@@ -161,6 +162,11 @@
 	})
 }
 
+// Deposit takes retry tokens that were sent at a time of the Loop's clock.
+func (l *Loop) Deposit(service string, d retry.Deposit, sentAt time.Duration) {
+	l.send(func(now time.Time) { l.service(service, now).takeDeposit(now, d, sentAt) })
+}
+
 // Cancel withdraws an attempt, whether it waits or was granted in the meantime.
 func (l *Loop) Cancel(service string, id ID) {
 	l.send(func(now time.Time) {
--- a/gateway/balance/second.go
+++ b/gateway/balance/second.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filbertmill.example/outcome"
+	"filbertmill.example/retry"
 )
 
 const (
@@ -18,12 +19,12 @@
 // second says whether an attempt brings its request to a further target.
 func (a *Attempt) second() bool { return a.Repeat != First && a.Repeat != Redirected }
 
-// takeDeposit takes the tokens that an attempt brings along. Those of a message
-// that was long on its way, or waited here, are as old as it.
-func (s *service) takeDeposit(now time.Time, a Attempt) {
-	age := now.Sub(s.loop.started) - a.SentAt
-	if a.SentAt > 0 && age >= 0 {
-		s.retries.Add(now, a.Deposit, age)
+// takeDeposit takes the tokens that a message brings along. Those of one that was
+// long on its way, or waited here, are as old as it.
+func (s *service) takeDeposit(now time.Time, d retry.Deposit, sentAt time.Duration) {
+	age := now.Sub(s.loop.started) - sentAt
+	if sentAt > 0 && age >= 0 {
+		s.retries.Add(now, d, age)
 	}
 }
 
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -96,7 +96,7 @@
 		reply(Grant{Reason: outcome.ReasonPoison, RetryAfter: e.Until.Sub(now)})
 		return
 	}
-	s.takeDeposit(now, a)
+	s.takeDeposit(now, a.Deposit, a.SentAt)
 	s.noteAsked(now)
 	if a.second() && !s.mayRepeat(now, a) {
 		reply(Grant{Reason: outcome.ReasonNoTarget})
--- a/gateway/homes/client.go
+++ b/gateway/homes/client.go
@@ -82,7 +82,7 @@
 // none answers. It fails only with the context's error.
 func (c *Client) Acquire(ctx context.Context, a balance.Attempt) (Lease, error) {
 	start, left, due := time.Now(), a.TimeLeft, a.DueLeft
-	tokens := allotment{tokens: &c.tokens}
+	tokens := allotment{deposit: c.tokens.issue(a.Service, a.Repeat == balance.First)}
 	homes := follow.Homes(a.Service, c.cfg.Relays.Relays())
 	for _, h := range homes[:min(len(homes), homesTried)] {
 		a.TimeLeft, a.DueLeft = left-time.Since(start), due-time.Since(start)
@@ -92,6 +92,9 @@
 		}
 		tokens.addTo(&a, c.clocks.estimate(h.Name))
 		lease, err := c.askHome(ctx, h, a)
+		if err == nil && tokens.refused(a, lease.Clock) {
+			go c.send(peerOf(h), kindTokens, parcel{a.Service, tokens.deposit, lease.Clock - time.Since(start)})
+		}
 		if err == nil || ctx.Err() != nil {
 			return lease, ctx.Err()
 		}
@@ -118,7 +121,7 @@
 
 // askHome asks another node.
 func (c *Client) askHome(ctx context.Context, h replica.Node, a balance.Attempt) (Lease, error) {
-	to := control.Peer{Name: h.Name, ControlAddress: h.ControlAddress}
+	to := peerOf(h)
 	ref := reference{a.Service, a.ID}
 	lease := Lease{Home: h.Name, finish: func(r balance.Report) { c.send(to, kindFinish, r) }}
 	err := c.call(ctx, to, kindSubmit, a, &lease.Grant)
@@ -135,6 +138,10 @@
 	return lease, err
 }
 
+func peerOf(n replica.Node) control.Peer {
+	return control.Peer{Name: n.Name, ControlAddress: n.ControlAddress}
+}
+
 func (c *Client) call(ctx context.Context, to control.Peer, kind control.Kind, msg, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/gateway/homes/server.go
+++ b/gateway/homes/server.go
@@ -21,6 +21,8 @@
 	kindCancel control.Kind = "cancel"
 	// kindFinish reports the end of an attempt: a balance.Report.
 	kindFinish control.Kind = "finish"
+	// kindTokens brings retry tokens that no question could: a parcel.
+	kindTokens control.Kind = "tokens"
 )
 
 const (
@@ -60,6 +62,7 @@
 	t.Handle(kindAwait, s.await)
 	t.Handle(kindCancel, s.cancel)
 	t.Handle(kindFinish, s.finish)
+	t.Handle(kindTokens, s.tokens)
 	return s
 }
 
@@ -138,3 +141,12 @@
 	s.loop.Finish(r)
 	return nil, nil
 }
+
+func (s *Server) tokens(_ context.Context, _ string, body []byte) (any, error) {
+	var p parcel
+	if err := control.Unmarshal(body, &p); err != nil {
+		return nil, err
+	}
+	s.loop.Deposit(p.Service, p.Deposit, p.SentAt)
+	return nil, nil
+}
--- a/gateway/homes/tokens.go
+++ b/gateway/homes/tokens.go
@@ -22,22 +22,36 @@
 	issuer *retry.Issuer
 }
 
-// allotment is what goes with the questions about one attempt: tokens with the
-// first that may carry them, and with no other, since they may have arrived.
+// allotment holds the tokens that go with the questions about one attempt: to the
+// first home that may take them, and to no other, since they may have arrived.
 type allotment struct {
-	tokens *tokens
-	sent   bool
+	deposit retry.Deposit
+	sent    bool
 }
 
 // addTo completes a question to a Loop whose clock is known, or 0 if it is not.
 func (o *allotment) addTo(a *balance.Attempt, clock time.Duration) {
 	a.SentAt, a.Deposit = clock, retry.Deposit{}
 	if clock > 0 && !o.sent {
-		o.sent = true
-		a.Deposit = o.tokens.issue(a.Service, a.Repeat == balance.First)
+		a.Deposit, o.sent = o.deposit, true
 	}
 }
 
+// refused says, by the clock in the answer to a question, whether the home has
+// taken no tokens from it: its clock was not known, or that of an earlier run.
+func (o *allotment) refused(a balance.Attempt, clock time.Duration) bool {
+	return !o.sent || (a.Deposit != retry.Deposit{} && clock < a.SentAt)
+}
+
+// parcel is a Deposit that goes to a home by itself.
+type parcel struct {
+	Service string        `cbor:"1,keyasint"`
+	Deposit retry.Deposit `cbor:"2,keyasint"`
+	// SentAt is as in balance.Attempt.
+	SentAt time.Duration `cbor:"3,keyasint"`
+}
+
+// issue returns the tokens for an attempt.
 func (t *tokens) issue(service string, request bool) retry.Deposit {
 	now := time.Now()
 	hosts := t.fleet.Sharers(now)
--- a/gateway/homes/tokens_test.go
+++ b/gateway/homes/tokens_test.go
@@ -68,6 +68,64 @@
 	return h, replica.Node{Name: name, AvailabilityZone: "a", ControlAddress: l.Addr().String()}
 }
 
+// TestFirstQuestionToAHomeBringsTokens guards against second attempts that are
+// refused after a start or a takeover, since nodes do not know the home's clock yet.
+func TestFirstQuestionToAHomeBringsTokens(t *testing.T) {
+	c := qt.New(t)
+	bound := retry.Bound{Window: 10 * time.Second, Ratio: 1.5}
+	home := startLoop(t, bound)
+	tr := newTransport(t, "h1")
+	Serve(home, tr)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = tr.Serve(l) }()
+	relay := replica.Node{Name: "h1", AvailabilityZone: "a", ControlAddress: l.Addr().String()}
+	client := NewClient(Config{
+		Self: "n0", Relays: fixedRelays{relay}, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
+		Shared: startLoop(t, bound), Alone: startLoop(t, bound), Log: hclog.NewNullLogger(),
+	})
+	ask := func(n uint64, repeat balance.Repeat) string {
+		lease, err := client.Acquire(t.Context(), attempt(n, repeat))
+		c.Assert(err, qt.IsNil)
+		c.Check(lease.Home, qt.Equals, "h1")
+		return lease.Target
+	}
+	granted := func(n uint64) bool {
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			n += 100
+			if ask(n, balance.AfterFailure) != "" {
+				return true
+			}
+		}
+		return false
+	}
+	ask(1, balance.First)
+	c.Check(granted(1), qt.IsTrue, qt.Commentf("the clock was not known"))
+	c.Check(ask(2, balance.AfterFailure), qt.Equals, "", qt.Commentf("one request earned one second attempt"))
+	client.clocks.note("h1", time.Hour)
+	ask(3, balance.First)
+	c.Check(granted(3), qt.IsTrue, qt.Commentf("the clock was that of an earlier run"))
+	c.Check(ask(4, balance.AfterFailure), qt.Equals, "")
+	ask(5, balance.First)
+	c.Check(granted(5), qt.IsTrue, qt.Commentf("the clock is known"))
+	c.Check(ask(6, balance.AfterFailure), qt.Equals, "")
+}
+
+// startLoop returns a Loop that runs, with one service of one target.
+func startLoop(t *testing.T, bound retry.Bound) *balance.Loop {
+	l := balance.New(balance.Config{TokenLife: bound.Life(), Log: hclog.NewNullLogger()})
+	go l.Run(t.Context())
+	l.SetView(&replica.View{
+		Config:  &dynamic.Config{},
+		Targets: map[string][]platform.Target{"s": {{ID: "t0", Service: "s", Slots: 900}}},
+	})
+	return l
+}
+
+func attempt(n uint64, repeat balance.Repeat) balance.Attempt {
+	return balance.Attempt{ID: balance.ID{Number: n}, Service: "s", Route: "r", Repeat: repeat, TimeLeft: time.Minute, DueLeft: time.Minute}
+}
+
 // TestTokensGoToOneHomeOnly guards against retry tokens that several homes hold
 // because the first one asked did not answer in time.
 func TestTokensGoToOneHomeOnly(t *testing.T) {
@@ -79,12 +137,7 @@
 		one, two = two, one
 	}
 	bound := retry.Bound{Window: 10 * time.Second, Ratio: 1, Extra: 100}
-	alone := balance.New(balance.Config{TokenLife: bound.Life(), Log: hclog.NewNullLogger()})
-	go alone.Run(t.Context())
-	alone.SetView(&replica.View{
-		Config:  &dynamic.Config{},
-		Targets: map[string][]platform.Target{"s": {{ID: "t0", Service: "s", Slots: 9}}},
-	})
+	alone := startLoop(t, bound)
 	client := NewClient(Config{
 		Self: "n0", Relays: relays, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
 		Shared: alone, Alone: alone, Log: hclog.NewNullLogger(),
@@ -93,8 +146,7 @@
 		client.clocks.note(h.Name, time.Second)
 	}
 	for i := range uint64(4) {
-		a := balance.Attempt{ID: balance.ID{Number: i}, Service: "s", Route: "r", TimeLeft: time.Minute, DueLeft: time.Minute}
-		lease, err := client.Acquire(t.Context(), a)
+		lease, err := client.Acquire(t.Context(), attempt(i, balance.First))
 		c.Assert(err, qt.IsNil)
 		c.Check(lease.Target, qt.Not(qt.Equals), "", qt.Commentf("no home answers"))
 	}
@@ -106,8 +158,7 @@
 	}
 	c.Check(one.taken[3].Deposit.Accrued > 0, qt.IsTrue, qt.Commentf("the host's part of the fixed second attempts"))
 	c.Check(two.taken[0].SentAt >= time.Second, qt.IsTrue)
-	again := balance.Attempt{ID: balance.ID{Number: 9}, Service: "s", Route: "r", Repeat: balance.AfterFailure, TimeLeft: time.Minute, DueLeft: time.Minute}
-	lease, err := client.Acquire(t.Context(), again)
+	lease, err := client.Acquire(t.Context(), attempt(9, balance.AfterFailure))
 	c.Assert(err, qt.IsNil)
 	c.Check(lease.Target, qt.Equals, "", qt.Commentf("this node has no tokens left"))
 }
