homes: fixed retry tokens reach homes that are asked seldom

A host's part of the fixed second attempts went with its questions only. What no question has taken for half of a token's life now goes to the home in a message of its own; the answer tells the home's clock. TestTokensOfQuietHostsReachTheHome fails without it.

--- a/gateway/homes/client.go
+++ b/gateway/homes/client.go
@@ -93,7 +93,7 @@
 		tokens.addTo(&a, c.clocks.estimate(h.Name))
 		lease, err := c.askHome(ctx, h, a)
 		if err == nil && tokens.refused(a, lease.Clock) {
-			go c.send(peerOf(h), kindTokens, parcel{a.Service, tokens.deposit, lease.Clock - time.Since(start)})
+			go c.deliver(context.WithoutCancel(ctx), h, []parcel{{a.Service, tokens.deposit, lease.Clock - time.Since(start)}})
 		}
 		if err == nil || ctx.Err() != nil {
 			return lease, ctx.Err()
--- a/gateway/homes/server.go
+++ b/gateway/homes/server.go
@@ -21,7 +21,8 @@
 	kindCancel control.Kind = "cancel"
 	// kindFinish reports the end of an attempt: a balance.Report.
 	kindFinish control.Kind = "finish"
-	// kindTokens brings retry tokens that no question could: a parcel.
+	// kindTokens brings retry tokens that no question has brought: a list of
+	// parcels, answered by the home's clock.
 	kindTokens control.Kind = "tokens"
 )
 
@@ -143,10 +144,12 @@
 }
 
 func (s *Server) tokens(_ context.Context, _ string, body []byte) (any, error) {
-	var p parcel
-	if err := control.Unmarshal(body, &p); err != nil {
+	var list []parcel
+	if err := control.Unmarshal(body, &list); err != nil {
 		return nil, err
 	}
-	s.loop.Deposit(p.Service, p.Deposit, p.SentAt)
-	return nil, nil
+	for _, p := range list {
+		s.loop.Deposit(p.Service, p.Deposit, p.SentAt)
+	}
+	return s.loop.Clock(), nil
 }
--- a/gateway/homes/tokens.go
+++ b/gateway/homes/tokens.go
@@ -51,6 +51,13 @@
 	SentAt time.Duration `cbor:"3,keyasint"`
 }
 
+// due says whether the fixed tokens of a service have accrued for a time.
+func (t *tokens) due(service string, after time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.issuer.Due(time.Now(), service, after)
+}
+
 // issue returns the tokens for an attempt.
 func (t *tokens) issue(service string, request bool) retry.Deposit {
 	now := time.Now()
--- a/gateway/homes/tokens_test.go
+++ b/gateway/homes/tokens_test.go
@@ -111,6 +111,33 @@
 	c.Check(ask(6, balance.AfterFailure), qt.Equals, "")
 }
 
+// TestTokensOfQuietHostsReachTheHome guards against a bound that cannot be spent
+// because most hosts ask about a service too seldom to bring their part.
+func TestTokensOfQuietHostsReachTheHome(t *testing.T) {
+	c := qt.New(t)
+	bound := retry.Bound{Window: 400 * time.Millisecond, Extra: 100}
+	home := startLoop(t, bound)
+	tr := newTransport(t, "h1")
+	Serve(home, tr)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = tr.Serve(l) }()
+	relay := replica.Node{Name: "h1", AvailabilityZone: "a", ControlAddress: l.Addr().String()}
+	client := NewClient(Config{
+		Self: "n0", Relays: fixedRelays{relay}, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
+		Shared: startLoop(t, bound), Alone: startLoop(t, bound), Log: hclog.NewNullLogger(),
+	})
+	go client.Run(t.Context(), func() []string { return []string{"s"} })
+	granted := make(chan balance.Grant, 1)
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("no token came"))
+		home.Submit(attempt(uint64(time.Until(end)), balance.AfterFailure), func(g balance.Grant) { granted <- g })
+		if (<-granted).Target != "" {
+			return
+		}
+	}
+}
+
 // startLoop returns a Loop that runs, with one service of one target.
 func startLoop(t *testing.T, bound retry.Bound) *balance.Loop {
 	l := balance.New(balance.Config{TokenLife: bound.Life(), Log: hclog.NewNullLogger()})
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -152,6 +152,7 @@
 	tasks.Go(func() { n.alone.Run(work) })
 	tasks.Go(func() { n.follower.Run(work) })
 	tasks.Go(func() { n.spreadViews(work) })
+	tasks.Go(func() { n.homes.Run(work, n.services) })
 	go func() { failed <- n.callers.Run() }()
 	go func() { failed <- n.ready.run() }()
 	go func() { failed <- n.transport.Serve(n.control) }()
@@ -189,6 +190,19 @@
 	}
 }
 
+// services returns the names of the services of the configuration in force.
+func (n *Node) services() []string {
+	cfg := n.replica.View().Config
+	if cfg == nil {
+		return nil
+	}
+	names := make([]string, len(cfg.Services))
+	for i, s := range cfg.Services {
+		names[i] = s.Name
+	}
+	return names
+}
+
 // isReady reports whether new connections are welcome.
 func (n *Node) isReady() bool {
 	return !n.draining.Load() && n.replica.View().Config != nil
--- a/retry/issuer.go
+++ b/retry/issuer.go
@@ -63,3 +63,8 @@
 	i.services[service] = issued{now, hosts}
 	return d
 }
+
+// Due says whether the fixed tokens of a service were not issued for a time.
+func (i *Issuer) Due(now time.Time, service string, after time.Duration) bool {
+	return now.Sub(i.services[service].at) >= after
+}
