--- a/gateway/homes/tokens_test.go
+++ b/gateway/homes/tokens_test.go
@@ -62,10 +62,7 @@
 		time.Sleep(2 * callTimeout)
 		return balance.Grant{}, nil
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	go func() { _ = tr.Serve(l) }()
-	return h, replica.Node{Name: name, AvailabilityZone: "a", ControlAddress: l.Addr().String()}
+	return h, listen(t, tr, name)
 }
 
 // TestFirstQuestionToAHomeBringsTokens guards against second attempts that are
@@ -73,17 +70,7 @@
 func TestFirstQuestionToAHomeBringsTokens(t *testing.T) {
 	c := qt.New(t)
 	bound := retry.Bound{Window: 10 * time.Second, Ratio: 1.5}
-	home := startLoop(t, bound)
-	tr := newTransport(t, "h1")
-	Serve(home, tr)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	go func() { _ = tr.Serve(l) }()
-	relay := replica.Node{Name: "h1", AvailabilityZone: "a", ControlAddress: l.Addr().String()}
-	client := NewClient(Config{
-		Self: "n0", Relays: fixedRelays{relay}, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
-		Shared: startLoop(t, bound), Alone: startLoop(t, bound), Log: hclog.NewNullLogger(),
-	})
+	_, client := startHome(t, bound)
 	ask := func(n uint64, repeat balance.Repeat) string {
 		lease, err := client.Acquire(t.Context(), attempt(n, repeat))
 		c.Assert(err, qt.IsNil)
@@ -116,17 +103,7 @@
 func TestTokensOfQuietHostsReachTheHome(t *testing.T) {
 	c := qt.New(t)
 	bound := retry.Bound{Window: 400 * time.Millisecond, Extra: 100}
-	home := startLoop(t, bound)
-	tr := newTransport(t, "h1")
-	Serve(home, tr)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	go func() { _ = tr.Serve(l) }()
-	relay := replica.Node{Name: "h1", AvailabilityZone: "a", ControlAddress: l.Addr().String()}
-	client := NewClient(Config{
-		Self: "n0", Relays: fixedRelays{relay}, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
-		Shared: startLoop(t, bound), Alone: startLoop(t, bound), Log: hclog.NewNullLogger(),
-	})
+	home, client := startHome(t, bound)
 	go client.Run(t.Context(), func() []string { return []string{"s"} })
 	granted := make(chan balance.Grant, 1)
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
@@ -138,6 +115,33 @@
 	}
 }
 
+// startHome returns the Loop of the home h1, and a Client of another host that asks it.
+func startHome(t *testing.T, bound retry.Bound) (*balance.Loop, *Client) {
+	t.Helper()
+	home := startLoop(t, bound)
+	tr := newTransport(t, "h1")
+	Serve(home, tr)
+	return home, newClient(t, bound, fixedRelays{listen(t, tr, "h1")})
+}
+
+// listen has a Transport receive messages and returns the node that it is.
+func listen(t *testing.T, tr *control.Transport, name string) replica.Node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = tr.Serve(l) }()
+	return replica.Node{Name: name, AvailabilityZone: "a", ControlAddress: l.Addr().String()}
+}
+
+// newClient returns the Client of the host n0.
+func newClient(t *testing.T, bound retry.Bound, relays fixedRelays) *Client {
+	t.Helper()
+	return NewClient(Config{
+		Self: "n0", Relays: relays, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
+		Shared: startLoop(t, bound), Alone: startLoop(t, bound), Log: hclog.NewNullLogger(),
+	})
+}
+
 // startLoop returns a Loop that runs, with one service of one target.
 func startLoop(t *testing.T, bound retry.Bound) *balance.Loop {
 	l := balance.New(balance.Config{TokenLife: bound.Life(), Log: hclog.NewNullLogger()})
@@ -164,11 +168,7 @@
 		one, two = two, one
 	}
 	bound := retry.Bound{Window: 10 * time.Second, Ratio: 1, Extra: 100}
-	alone := startLoop(t, bound)
-	client := NewClient(Config{
-		Self: "n0", Relays: relays, Transport: newTransport(t, "n0"), Fleet: fixedFleet(1), Retries: bound,
-		Shared: alone, Alone: alone, Log: hclog.NewNullLogger(),
-	})
+	client := newClient(t, bound, relays)
 	for _, h := range relays {
 		client.clocks.note(h.Name, time.Second)
 	}
