--- a/soak/mutants.go
+++ b/soak/mutants.go
@@ -42,6 +42,10 @@
 			"result:  result{outcome: outcome.New(outcome.ReasonUnreachable, f.Error(), 0)},",
 		}, {"gateway/flight.go", "if f.sent && f.last.outcome.Kind == outcome.NotRun {", "if false {"}},
 	},
+	{
+		name: "a retry token is good for any number of second attempts", promise: promiseBudget,
+		edits: []edit{{"retry/bucket.go", "\t\tbt.tokens -= taken\n", ""}},
+	},
 	{
 		name: "the configuration is taken from a read that lags", promise: promiseApplied,
 		edits: []edit{
