--- a/retry/issuer.go
+++ b/retry/issuer.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Deposit is what a host adds to a question about a service, for the Bucket of
-// whoever answers. The host sends it once, whether it arrives or not: no token
-// is ever in two Buckets.
+// whoever answers. The host sends it again only if it is proved that nobody has
+// taken it: no token is ever in two Buckets.
 type Deposit struct {
 	// Earned is what the request itself earned.
 	Earned Tokens `cbor:"1,keyasint,omitempty"`
