--- a/retry/budget.go
+++ b/retry/budget.go
@@ -58,14 +58,6 @@
 	b.bucket(now).requests++
 }
 
-// Add takes requests and second attempts that another budget of the same
-// service has counted.
-func (b *Budget) Add(now time.Time, requests, retries int) {
-	bk := b.bucket(now)
-	bk.requests += requests
-	bk.addRetries(now, retries)
-}
-
 // Take asks for one second attempt, a retry or a hedge. Queued says that work
 // of the service waits for a slot: a second attempt would then take the place
 // of a first one, so the budget is empty. Take reports whether the attempt is
@@ -74,21 +66,23 @@
 	if queued || b.Left(now) < 1 {
 		return false
 	}
-	b.bucket(now).addRetries(now, 1)
+	bk := b.bucket(now)
+	bk.retries++
+	bk.lastRetry = now
 	return true
 }
 
 // Left returns the number of second attempts that would be granted now if no
 // work waited.
 func (b *Budget) Left(now time.Time) int {
-	requests, retries := b.Sum(now)
+	requests, retries := b.sum(now)
 	return b.cfg.Floor + int(b.cfg.Share*float64(requests)) - retries
 }
 
-// Sum returns the requests and second attempts within the window. Of a part that
+// sum adds up the requests and second attempts within the window. Of a part that
 // has left it in part, the requests count no more, and the second attempts until
 // the latest of them is older than the window.
-func (b *Budget) Sum(now time.Time) (requests, retries int) {
+func (b *Budget) sum(now time.Time) (requests, retries int) {
 	current := b.part(now)
 	for _, bk := range b.ring {
 		if current-bk.part < buckets {
@@ -101,13 +95,6 @@
 	return requests, retries
 }
 
-func (bk *bucket) addRetries(now time.Time, n int) {
-	if n > 0 {
-		bk.retries += n
-		bk.lastRetry = now
-	}
-}
-
 // part returns the number of the part of the time that now falls into.
 func (b *Budget) part(now time.Time) int64 {
 	if b.origin.IsZero() {
