gateway: a home keeps the tokens of requests older than its process

Cause: the time at which tokens were sent is the home's clock less the age of the request. Change: the clock of a Loop starts at one hour, so that 0 stays the mark of an unknown time. Ruled out: a flag beside the time, which both nodes would have to send.

--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -109,7 +109,7 @@
 	f.inTransit = slices.DeleteFunc(f.inTransit, func(d depositInTransit) bool {
 		arrived := !f.now.Before(d.arrives)
 		if arrived {
-			d.to.service("s", f.now).takeDeposit(f.now, d.deposit, d.sent.Sub(d.to.started))
+			d.to.service("s", f.now).takeDeposit(f.now, d.deposit, d.to.clockAt(d.sent))
 		}
 		return arrived
 	})
--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -19,6 +19,9 @@
 	// sweepInterval is how often attempts that their node has not reported as ended
 	// are cancelled.
 	sweepInterval = 500 * time.Millisecond
+	// clockStart is the Clock of a new Loop. It exceeds the age of any message that a
+	// new Loop may receive, so that the sending time is positive.
+	clockStart = time.Hour
 	// reportGrace is how long after its deadline the result of an attempt may still
 	// be reported.
 	reportGrace = time.Second
@@ -78,8 +81,11 @@
 	}
 }
 
-// Clock returns the time since the Loop was created.
-func (l *Loop) Clock() time.Duration { return time.Since(l.started) }
+// Clock returns the Loop's own time. It advances from clockStart when the Loop is
+// created, so that 0 can stand for a time that is not known.
+func (l *Loop) Clock() time.Duration { return l.clockAt(time.Now()) }
+
+func (l *Loop) clockAt(now time.Time) time.Duration { return clockStart + now.Sub(l.started) }
 
 // Run runs the Loop until the context ends.
 func (l *Loop) Run(ctx context.Context) {
--- a/gateway/balance/poison_test.go
+++ b/gateway/balance/poison_test.go
@@ -32,7 +32,7 @@
 // submit submits an attempt and returns the answer.
 func submit(l *Loop, now time.Time, a Attempt) Grant {
 	var got Grant
-	a.Service, a.Route, a.SentAt = "s", "r", now.Sub(l.started)
+	a.Service, a.Route, a.SentAt = "s", "r", l.clockAt(now)
 	a.TimeLeft, a.SoftTimeLeft = time.Second, time.Second
 	l.service("s", now).submit(now, a, func(g Grant) { got = g })
 	return got
--- a/gateway/balance/second.go
+++ b/gateway/balance/second.go
@@ -23,7 +23,7 @@
 // takeDeposit adds the tokens of a message to the budget. They are as old as the
 // message, which may have been delayed in transit or in the Loop's command queue.
 func (s *service) takeDeposit(now time.Time, d retry.Deposit, sentAt time.Duration) {
-	age := now.Sub(s.loop.started) - sentAt
+	age := s.loop.clockAt(now) - sentAt
 	if sentAt > 0 && age >= 0 {
 		s.retries.Add(now, d, age)
 	}
--- a/gateway/balance/second_test.go
+++ b/gateway/balance/second_test.go
@@ -51,7 +51,7 @@
 	s := l.service("s", epoch)
 	replies := make(map[uint64]Grant)
 	for i := range uint64(3) {
-		a := Attempt{ID: ID{Number: 10 + i}, Service: "s", Route: "r", Kind: RetryAfterFailure, SentAt: epoch.Sub(l.started), Deposit: tokens(1), TimeLeft: time.Minute, SoftTimeLeft: time.Minute}
+		a := Attempt{ID: ID{Number: 10 + i}, Service: "s", Route: "r", Kind: RetryAfterFailure, SentAt: l.clockAt(epoch), Deposit: tokens(1), TimeLeft: time.Minute, SoftTimeLeft: time.Minute}
 		s.submit(epoch, a, func(g Grant) { replies[i] = g })
 	}
 	s.tick(epoch.Add(tokenWaitMax - time.Millisecond))
@@ -90,6 +90,7 @@
 // TestTokensAgeInTransit guards against tokens that are used after their expiry
 // because an overloaded home or a slow link delayed their message.
 func TestTokensAgeInTransit(t *testing.T) {
+	const unknownTime = -time.Hour
 	life := testBound.Life()
 	for _, test := range []struct {
 		desc   string
@@ -102,13 +103,41 @@
 		{"late and used late", time.Minute - life/2, life / 2, false},
 		{"too late", time.Minute - life, 0, false},
 		{"from another run of the home", 2 * time.Minute, 0, false},
-		{"at an unknown time", 0, 0, false},
+		{"at an unknown time", unknownTime, 0, false},
 	} {
 		l := newLoop(2)
 		arrived := l.started.Add(time.Minute)
+		sentAt := l.clockAt(l.started) + test.sent
+		if test.sent == unknownTime {
+			sentAt = 0
+		}
 		s := l.service("s", arrived)
-		a := Attempt{ID: ID{Number: 1}, Service: "s", Route: "r", SentAt: test.sent, Deposit: tokens(1), TimeLeft: time.Minute, SoftTimeLeft: time.Minute}
+		a := Attempt{ID: ID{Number: 1}, Service: "s", Route: "r", SentAt: sentAt, Deposit: tokens(1), TimeLeft: time.Minute, SoftTimeLeft: time.Minute}
 		s.submit(arrived, a, func(Grant) {})
 		qt.Check(t, s.retries.Left(arrived.Add(test.wait)) == 1, qt.Equals, test.expect, qt.Commentf(test.desc))
 	}
 }
+
+// TestTokensFromBeforeTheStartOfTheHome guards against tokens that a home drops
+// because the request for which they were issued began before the home's process:
+// the first attempt that a new home receives, and the time that its answer takes.
+func TestTokensFromBeforeTheStartOfTheHome(t *testing.T) {
+	life := testBound.Life()
+	for _, test := range []struct {
+		desc   string
+		issued time.Duration
+		expect int
+	}{
+		{"as the home started", 0, 1},
+		{"just before", 10 * time.Microsecond, 1},
+		{"half a lifetime before", life / 2, 1},
+		{"a lifetime before", life, 0},
+	} {
+		l := newLoop(2)
+		l.started = epoch
+		sentAt := l.clockAt(epoch) - test.issued
+		s := l.service("s", epoch)
+		s.takeDeposit(epoch, tokens(1), sentAt)
+		qt.Check(t, s.retries.Left(epoch), qt.Equals, test.expect, qt.Commentf(test.desc))
+	}
+}
--- a/gateway/homes/tokens_test.go
+++ b/gateway/homes/tokens_test.go
@@ -71,7 +71,7 @@
 func TestFirstQuestionToAHomeBringsTokens(t *testing.T) {
 	c := qt.New(t)
 	bound := retry.Bound{Window: 10 * time.Second, Ratio: 1.5}
-	_, client := startHome(t, bound)
+	home, client := startHome(t, bound)
 	ask := func(n uint64, repeat balance.AttemptKind) string {
 		decision, err := client.Acquire(t.Context(), attempt(n, repeat))
 		c.Assert(err, qt.IsNil)
@@ -90,7 +90,7 @@
 	ask(1, balance.FirstAttempt)
 	c.Check(granted(1), qt.IsTrue, qt.Commentf("the clock was not known"))
 	c.Check(ask(2, balance.RetryAfterFailure), qt.Equals, "", qt.Commentf("one request earned one second attempt"))
-	client.clocks.record("h1", time.Hour)
+	client.clocks.record("h1", home.Clock()+time.Hour)
 	ask(3, balance.FirstAttempt)
 	c.Check(granted(3), qt.IsTrue, qt.Commentf("the clock was that of an earlier run"))
 	c.Check(ask(4, balance.RetryAfterFailure), qt.Equals, "")
