follow: a relay does not hold the first poll of a node

Cause: a relay of another zone holds a poll for 2 s while nothing changes, and the poll may take 2.35 s with the time to connect. A connection that took longer than 0.35 s to open, as to a process that has just started, lost the first poll, and the relay was not in use until the poll after the pause of 0.5 s: 5 s after the start. Without such a delay it was not in use for 2 s. Change: the relay answers the first poll at once. Measured: TestRelayIsInUseSoonAfterItsStart fails before (not in use after 0.5 s, with and without a slow connection) and passes now.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -42,16 +42,18 @@
 // answers reports whether the relay has answered recently.
 func (fd *feed) answers(now time.Time) bool { return now.Sub(fd.lastAnswer) < fd.wait+2*pollGrace }
 
-// pollRelay polls a relay for changes until a call fails or the context ends.
+// pollRelay polls a relay for changes until a call fails or the context ends. The
+// relay does not hold the first poll, whose answer shows that the relay is in use.
+// This also leaves time to connect to a relay that is starting.
 func (f *Follower) pollRelay(ctx context.Context, n replica.Node, wait time.Duration) error {
 	to := peerOf(n)
-	notice := false
+	notice, hold := false, time.Duration(0)
 	for ctx.Err() == nil {
 		after := f.cfg.Replica.View().Revision
 		callCtx, cancel := context.WithTimeout(ctx, wait+pollGrace)
 		var reply changesReply
 		err := f.cfg.Transport.Call(callCtx, to, kindChanges, changesRequest{
-			After: after, Wait: wait, NoticeOnly: notice, Fresh: f.wasFresh(n.Name),
+			After: after, Wait: hold, NoticeOnly: notice, Fresh: f.wasFresh(n.Name),
 		}, &reply)
 		cancel()
 		if err != nil {
@@ -61,6 +63,7 @@
 			f.merge(reply)
 			return errLeaving
 		}
+		hold = wait
 		f.recordAnswer(n.Name, reply.Age)
 		if !notice {
 			f.merge(reply)
