gateway: split routes follow their weights exactly, also with few requests a node

Cause: each node drew the service of a request at random. Change: a node goes through a low-discrepancy sequence that begins at random. Ruled out: counting over the fleet, which needs messages; a common beginning, by which all nodes would favour the same service.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -63,6 +63,7 @@
 	stats              *stats
 	attempts           atomic.Uint64
 	unreachable        *unreachableTargets
+	splits             splitter
 	draining           atomic.Bool
 	// refusing is set once the drain is too far advanced to accept new requests.
 	// abort is closed when the requests in flight are aborted.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -76,7 +75,7 @@
 	if n.refusing.Load() {
 		return n.answer(in, refusedResult(outcome.ReasonShutdown, minRetryAfter))
 	}
-	r, refusal := newRequest(n.configuredView(ctx, in), in)
+	r, refusal := newRequest(n.configuredView(ctx, in), &n.splits, in)
 	if r == nil {
 		return n.answer(in, refusal)
 	}
@@ -117,7 +116,7 @@
 
 // newRequest returns the request with its route. If there is no route, it returns
 // nil and the result to answer with.
-func newRequest(view *replica.View, in *ingress.Request) (*request, result) {
+func newRequest(view *replica.View, splits *splitter, in *ingress.Request) (*request, result) {
 	if view.Config == nil {
 		return nil, refusedResult(outcome.ReasonNoConfiguration, startupRetryAfter)
 	}
@@ -133,7 +132,7 @@
 		Request:    in,
 		id:         string(in.Header.Peek(platform.HeaderRequestID)),
 		route:      route,
-		service:    pickService(route),
+		service:    splits.service(route),
 		idempotent: route.Idempotency == dynamic.IdempotentAlways,
 		deadline:   in.Received.Add(timeout),
 		forwarded:  hop.OutboundRequest(&in.Header),
@@ -148,25 +147,6 @@
 	return r, result{}
 }
 
-// pickService returns the service for a request of a route: drawn at random by
-// weight if the route is split.
-func pickService(route *dynamic.Route) string {
-	total := 0
-	for _, s := range route.Split {
-		total += s.Weight
-	}
-	if total == 0 {
-		return route.Service
-	}
-	draw := rand.IntN(total)
-	for _, s := range route.Split {
-		if draw -= s.Weight; draw < 0 {
-			return s.Service
-		}
-	}
-	return route.Service
-}
-
 // newTargetRequest returns a copy of the request to send to one target.
 func (r *request) newTargetRequest() *protocol.Request {
 	out := &protocol.Request{}
