gateway: a hedge that is refused is tried again and uses up no attempt

Cause: the home refuses a hedged attempt while any other attempt waits. The flight counted it as one of the route's attempts and never hedged again, so that a lookup whose target hung ended in 504, and one whose target then failed was not retried. Ruled out: letting hedges wait in the queue, where they take the slot of a first attempt. Measured: TestRefusedHedgeIsTriedAgain fails before and passes now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,8 @@
 type attemptResult struct {
 	result
 	verdict pool.Verdict
+	// kind is why the attempt was made.
+	kind balance.AttemptKind
 	// granted is set if the attempt was assigned a target, and sent if bytes of
 	// the request may have reached that target.
 	granted bool
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -23,11 +23,6 @@
 	// the delay before each of these attempts.
 	maxRefusingRetries = 3
 	refusingRetryPause = 30 * time.Millisecond
-	// hedgeFactor is the multiple of the usual latency after which an answer is
-	// overdue. hedgeShare limits that wait to a share of the latency objective,
-	// because the rest must suffice for the answer of another target.
-	hedgeFactor = 3
-	hedgeShare  = 0.6
 )
 
 // forward has targets run a request, one after another or, if an answer is
@@ -56,6 +51,9 @@
 		case res := <-f.results:
 			switch {
 			case !f.handleResult(res):
+				if f.hedgeRefused {
+					f.hedgeRefused, hedge = false, time.After(hedgePause)
+				}
 			case res.failed && f.ctx.Err() != nil:
 				return f.resultAtContextEnd()
 			default:
@@ -104,6 +102,8 @@
 	started         int
 	unusedGrants    int
 	refusingRetries int
+	// hedgeRefused is set if a hedged attempt got no target while another runs.
+	hedgeRefused bool
 	// candidate is the result to return unless a better one follows. mayHaveRun is
 	// set if a target may have run the request.
 	candidate  result
@@ -143,7 +143,9 @@
 		if pause > 0 {
 			time.Sleep(pause)
 		}
-		f.results <- f.runAttempt(f.ctx, f.r, p, func(g balance.Grant) { f.grants <- g })
+		res := f.runAttempt(f.ctx, f.r, p, func(g balance.Grant) { f.grants <- g })
+		res.kind = p.kind
+		f.results <- res
 	}()
 }
 
@@ -171,20 +173,6 @@
 	return time.Until(f.r.deadline) > minTimeLeft && f.ctx.Err() == nil
 }
 
-// hedgeDelay returns how long to wait for the first answer before a hedged
-// request is sent; usual is the usual latency, or 0 if it is not known.
-func (f *flight) hedgeDelay(usual time.Duration) time.Duration {
-	objective := f.r.route.LatencyObjective
-	if objective <= 0 {
-		objective = time.Until(f.r.deadline)
-	}
-	longest := time.Duration(hedgeShare * float64(objective))
-	if usual <= 0 {
-		return longest
-	}
-	return min(hedgeFactor*usual, longest)
-}
-
 // handleResult processes the result of an attempt and starts the next attempt if
 // one is due. It reports whether the request has its result: the attempt
 // succeeded, or no attempt is running.
@@ -199,6 +187,9 @@
 		f.candidate = res.result
 		return true
 	}
+	if res.kind == balance.HedgedAttempt && !res.granted {
+		return f.handleRefusedHedge()
+	}
 	f.updateCandidate(res)
 	switch {
 	case !res.granted && res.verdict == pool.VerdictRefused, res.granted && !res.sent:
--- a/gateway/flight_test.go
+++ b/gateway/flight_test.go
@@ -184,6 +184,33 @@
 	qt.Check(t, s.plans, qt.HasLen, 1)
 }
 
+// TestRefusedHedgeIsTriedAgain has the first target hang while other requests wait
+// for targets, so that the home refuses to hedge. The lookup must be hedged once no
+// request waits any more, and a refusal must not use up one of its attempts.
+func TestRefusedHedgeIsTriedAgain(t *testing.T) {
+	hung := scriptedResult{result: answered(200), after: time.Hour}
+	res, s := runFlight(t, true, hung, scriptedResult{result: noTarget()}, scriptedResult{result: noTarget()}, scriptedResult{result: answered(200), after: 50 * time.Millisecond})
+	qt.Check(t, res.outcome.Reason, qt.Equals, outcome.ReasonAnswered)
+	qt.Assert(t, s.plans, qt.HasLen, 4)
+	for _, p := range s.plans[1:] {
+		qt.Check(t, p.kind, qt.Equals, balance.HedgedAttempt)
+	}
+
+	failing := scriptedResult{result: answered(500), after: 350 * time.Millisecond}
+	res, s = runFlight(t, true, failing, scriptedResult{result: noTarget()}, scriptedResult{result: answered(200)})
+	qt.Check(t, res.outcome.Reason, qt.Equals, outcome.ReasonAnswered)
+	qt.Check(t, res.response.StatusCode(), qt.Equals, 200)
+	qt.Check(t, s.plans[len(s.plans)-1].kind, qt.Equals, balance.RetryAfterFailure)
+
+	allRefused := make([]scriptedResult, 20)
+	for i := range allRefused {
+		allRefused[i] = scriptedResult{result: noTarget()}
+	}
+	res, s = runFlight(t, true, append([]scriptedResult{hung}, allRefused...)...)
+	qt.Check(t, res.outcome.Reason, qt.Equals, outcome.ReasonTimeout)
+	qt.Check(t, len(s.plans) < 10, qt.IsTrue, qt.Commentf("%d attempts", len(s.plans)))
+}
+
 // runFlightUntilAbort runs a request that the process aborts after a time.
 func runFlightUntilAbort(t *testing.T, abortAfter time.Duration, results ...scriptedResult) result {
 	t.Helper()
