pool: how targets fail is learned; the floor holds while much is lost

Causes, each seen first: - Only a reset counted as strong evidence. Targets that had reset a request at 0.0 to 0.2 s were left unused until 5 s, because bookings go to no target with a risk above 0.6. The platform counts them as sound again 2 s after a failure, and leaves out the disrupted ones: 9 to 13 of 25 to 34 that counted were unused, while 15 to 20% of the counted requests were lost. Of all bookings 8% were lost at that moment.

Changes: - signature: for each kind of failure, the share of attempts that fail next on the same target, against targets without a failure; and how many faults are hangs. - latencyTail: how much slower than usual a route's answers are. With the share of hangs it says what an attempt without an answer is evidence for at its age. Nothing is while most busy targets are slow, because the cause is common. - lossShare covers the 2 s of the floor at any rate, and counts as much from 5% on plus what chance adds, at most 8%. - While much is lost, each target is used within 1.6 s, also by bookings and also if it fails again; one that has relapsed four times less often. - A new connection costs as much as 300 ms, not 120.

--- a/pool/belief.go
+++ b/pool/belief.go
@@ -19,11 +19,11 @@
 }
 
 const (
-	// resetHold is the least time for which a target that reset a request is assumed
-	// faulty. faultMeanTime is the mean duration of a fault from then on, and
+	// faultHold is the least time for which a target is assumed faulty after a failure
+	// that foretells others. faultMeanTime is the mean duration of a fault from then on, and
 	// soundMeanTime that of being sound. Shorter times make faulty targets be tried
 	// again sooner and successful answers be forgotten sooner.
-	resetHold     = 4 * time.Second
+	faultHold     = 4 * time.Second
 	faultMeanTime = 4 * time.Second
 	soundMeanTime = 12 * time.Second
 	// stationaryFaulty is the share of time that a target is faulty by these means.
@@ -36,19 +36,12 @@
 	beliefMax = 0.995
 )
 
-// The likelihood ratios of the outcomes of an attempt: how many times more likely
-// the outcome is from a faulty target than from a sound one. A sound target fails
-// single requests with an error, a timeout or a truncated answer. A target that
-// resets one request resets the next one too.
+// The likelihood ratios of the outcomes of an attempt that are not failures: how many
+// times more likely the outcome is from a faulty target than from a sound one.
 const (
-	ratioAnswered    = 0.2
-	ratioSlow        = 1.0
-	ratioServerError = 4
-	ratioReset       = 100
-	ratioTruncated   = 4
-	ratioTimeout     = 4
-	ratioUnreachable = 8
-	ratioRefused     = 1.5
+	ratioAnswered = 0.2
+	ratioSlow     = 1.0
+	ratioRefused  = 1.5
 )
 
 // probability returns the belief at the given time.
@@ -64,38 +57,16 @@
 
 // observe updates the belief with an observation of the given likelihood ratio.
 func (b *belief) observe(now time.Time, ratio float64) {
-	p := b.probability(now)
-	odds := p / (1 - p) * ratio
-	b.faulty = min(max(odds/(1+odds), beliefMin), beliefMax)
+	posterior := odds(b.probability(now)) * ratio
+	b.faulty = min(max(posterior/(1+posterior), beliefMin), beliefMax)
 	b.at = now
-	if ratio >= ratioReset {
-		b.holdUntil = now.Add(resetHold)
-	}
 }
 
-// likelihoodRatio returns the likelihood ratio of the outcome of an attempt that
-// took slowness times the usual latency.
-func likelihoodRatio(v Verdict, slowness float64) float64 {
-	switch v {
-	case VerdictAnswered:
-		if slowness > slowAnswerFactor {
-			return ratioSlow
-		}
-		return ratioAnswered
-	case VerdictServerError:
-		return ratioServerError
-	case VerdictReset:
-		return ratioReset
-	case VerdictTruncated:
-		return ratioTruncated
-	case VerdictTimeout:
-		return ratioTimeout
-	case VerdictUnreachable:
-		return ratioUnreachable
-	case VerdictRefused:
-		return ratioRefused
+// hold keeps the belief from decaying until the given time.
+func (b *belief) hold(until time.Time) {
+	if until.After(b.holdUntil) {
+		b.holdUntil = until
 	}
-	return 1
 }
 
 // slowAnswerFactor is the multiple of the usual latency above which an answer is
--- a/pool/internal/drive/run.go
+++ b/pool/internal/drive/run.go
@@ -58,6 +58,14 @@
 	return Options{Nodes: 32, New: pool.NewDirect, Seed: seed}
 }
 
+// LeastCost returns the options of one scheduler for targets with frequent gray
+// failures.
+func LeastCost(seed uint64) Options {
+	return Options{Nodes: 1, Seed: seed, New: func(cfg pool.Config, d pool.Delegate, seed uint64) pool.Scheduler {
+		return pool.NewLeastCost(cfg, d, seed)
+	}}
+}
+
 // action is a function to be called at a virtual time.
 type action struct {
 	at  time.Duration
--- a/pool/internal/drive/target.go
+++ b/pool/internal/drive/target.go
@@ -52,6 +52,11 @@
 		r.after(left, func() { r.releaseSlot(id, a, pool.VerdictTimeout) })
 		return
 	}
+	if r.affects(a.target.name, KindResetting) {
+		a.service = 0
+		r.after(networkTime, func() { r.releaseSlot(id, a, pool.VerdictReset) })
+		return
+	}
 	if a.request.arrival.Poison {
 		r.after(a.service, func() { r.crash(a.target) })
 		return
--- a/pool/internal/drive/trace.go
+++ b/pool/internal/drive/trace.go
@@ -28,6 +28,8 @@
 	KindTruncating Kind = "truncating"
 	// KindHanging leaves the share Value of the requests without an answer.
 	KindHanging Kind = "hanging"
+	// KindResetting resets the share Value of the requests as soon as they arrive.
+	KindResetting Kind = "resetting"
 	// KindRefusing refuses connections for requests and for probes.
 	KindRefusing Kind = "refusing"
 	// KindShedding runs no more than Value requests concurrently and refuses others.
--- a/pool/leastcost.go
+++ b/pool/leastcost.go
@@ -32,8 +32,14 @@
 	// this multiple of the usual latency, and at least after this time.
 	overdueFactor = 3
 	overdueMin    = 150 * time.Millisecond
-	// overdueRatio is the likelihood ratio of an overdue attempt.
-	overdueRatio = 3
+	// pendingFactor and pendingMin define when a running attempt is evidence against
+	// its target: after this multiple of the usual latency, and at least this time.
+	pendingFactor = 1
+	pendingMin    = 50 * time.Millisecond
+	// commonShare is the share of the busy targets with an overdue attempt from which
+	// on the cause is assumed to be common, and commonTargets the least number of them.
+	commonShare   = 0.6
+	commonTargets = 4
 	// limitRecovery is the time after which a lowered limit rises by one slot.
 	// limitShare is the least share of the slots to which it is lowered: a refusal may
 	// be part of a gray failure, and a retry costs little.
@@ -42,9 +48,6 @@
 	// noTargetWait is the least wait advised for a request that no target may take.
 	// Listing further targets or the return of one takes about as long.
 	noTargetWait = time.Second
-	// lossWeight is the weight of the latest request in the moving share of lost
-	// requests.
-	lossWeight = 0.02
 	// leastCostTick is the interval between ticks of a busy Scheduler.
 	leastCostTick = 25 * time.Millisecond
 )
@@ -68,12 +71,18 @@
 	running      map[RequestID]*leastCostAttempt
 	waiting      []*leastCostAttempt
 	usualLatency map[string]time.Duration
+	// tails holds, by route, how many times slower than usual answers are. signature
+	// is how the targets of the service fail.
+	tails     map[string]*latencyTail
+	signature signature
+	// slowInCommon is set while most targets are slow at the same time.
+	slowInCommon bool
 	// hasTargetList is set once a list of targets was received.
 	hasTargetList bool
 	lastTick      time.Time
-	// lossShare is the moving share of requests that were refused, or that failed
+	// losses is the moving share of requests that were refused, or that failed
 	// without a possible retry.
-	lossShare float64
+	losses lossShare
 	// offeredLoad is the load of all recent attempts, and startedLoad that of those
 	// that were started.
 	offeredLoad, startedLoad load
@@ -97,10 +106,15 @@
 	// added to an existing list and has not been used yet.
 	lastUsed    time.Time
 	newlyListed bool
-	// lastEnd is the latest end of an attempt, and lastReset the time of the latest
-	// VerdictReset.
-	lastEnd   attemptEnd
-	lastReset time.Time
+	// lastEnd is the latest end of an attempt, and history the recent ones. faultyAt
+	// is the latest time at which a failure that foretells others showed a fault.
+	lastEnd  attemptEnd
+	history  targetHistory
+	faultyAt time.Time
+	// failedAt is the latest failure without an answer since, and relapses the number
+	// of failures on further attempts after it.
+	failedAt time.Time
+	relapses int
 }
 
 // leastCostAttempt is an attempt that was submitted and has not ended.
@@ -127,6 +141,7 @@
 		targets:      make(map[string]*leastCostTarget),
 		running:      make(map[RequestID]*leastCostAttempt),
 		usualLatency: make(map[string]time.Duration),
+		tails:        make(map[string]*latencyTail),
 		spread:       make(map[bool]spreadState),
 	}
 }
@@ -266,7 +281,7 @@
 	delete(s.running, id)
 	delete(t.running, id)
 	if res.Verdict == VerdictAnswered || (res.Verdict != VerdictCancelled && !a.retryable()) {
-		s.countLoss(res.Verdict != VerdictAnswered)
+		s.losses.add(now, res.Verdict != VerdictAnswered)
 	}
 	s.learn(now, a, res)
 	if res.Leaving && t.state != StateDraining {
@@ -295,6 +310,7 @@
 // Tick implements Scheduler.
 func (s *leastCost) Tick(now time.Time) {
 	s.lastTick = now
+	s.slowInCommon = s.mostAreOverdue(now)
 	for _, t := range s.order {
 		t.limit.tick(now, t.Slots, limitRecovery)
 		s.updateSuspicion(now, t)
--- a/pool/leastcost_choose.go
+++ b/pool/leastcost_choose.go
@@ -14,7 +14,7 @@
 	retryCost = 3 * time.Second
 	// connectCost is the cost of opening a connection, and otherZoneCost that of
 	// using a target in another availability zone.
-	connectCost   = 120 * time.Millisecond
+	connectCost   = 300 * time.Millisecond
 	otherZoneCost = 100 * time.Millisecond
 	// inFlightCost is the cost of each attempt in flight, as a share of the usual
 	// latency. Some targets slow down when they are nearly full.
@@ -70,8 +70,8 @@
 func (s *leastCost) risk(now time.Time, t *leastCostTarget) float64 {
 	b := t.belief
 	for _, a := range t.running {
-		if now.Sub(a.started) > overdueAge(s.latency(a.Route)) {
-			b.observe(now, overdueRatio)
+		if ratio := s.pendingRatio(now, a); ratio > 1 {
+			b.observe(now, ratio)
 		}
 	}
 	return failureShare * b.probability(now)
--- a/pool/leastcost_learn.go
+++ b/pool/leastcost_learn.go
@@ -23,42 +23,121 @@
 		e.result.Verdict, e.result.Latency.Round(time.Millisecond))
 }
 
-// countLoss updates the moving share of lost requests with one request.
-func (s *leastCost) countLoss(lost bool) {
-	if lost {
-		s.lossShare += lossWeight * (1 - s.lossShare)
-	} else {
-		s.lossShare -= lossWeight * s.lossShare
-	}
-}
-
 // learn updates the beliefs and latencies from the end of an attempt.
 func (s *leastCost) learn(now time.Time, a *leastCostAttempt, res Result) {
 	t := a.target
 	t.lastEnd = attemptEnd{now, res}
 	usual := s.latency(a.Route)
-	slowness := float64(res.Latency) / float64(usual)
+	age := now.Sub(a.started)
+	failure, known := failureOf(res.Verdict, age > overdueAge(usual))
+	if known {
+		s.signature.record(now, &t.history, endedAttempt{a.started, failure})
+		t.countRelapse(now, a, failure)
+	}
 	switch res.Verdict {
 	case VerdictCancelled:
-		if now.Sub(a.started) > overdueAge(usual) {
-			t.belief.observe(now, overdueRatio)
-		}
+		t.belief.observe(now, s.pendingRatio(now, a))
+		s.learnPending(now, a)
 	case VerdictRefused:
 		t.lowerLimit(now)
+		t.belief.observe(now, ratioRefused)
 	case VerdictAnswered:
-		t.limit.resetPause()
-		t.slowness += slownessShare * (min(slowness, 2*overdueFactor) - t.slowness)
+		s.learnAnswer(now, a, slowness(res.Latency, usual))
 		s.learnLatency(a.Route, res.Latency)
+	case VerdictTimeout:
+		s.learnPending(now, a)
+		s.learnFailure(now, a, failure)
+	default:
+		s.learnFailure(now, a, failure)
 	}
-	if res.Verdict == VerdictReset {
-		t.lastReset = now
+	s.updateSuspicion(now, t)
+}
+
+// learnAnswer updates the state of a target by an answer that took x times the usual
+// latency. An answer to an attempt that started before the target's latest fault was
+// seen is no evidence about the target since then.
+func (s *leastCost) learnAnswer(now time.Time, a *leastCostAttempt, x float64) {
+	t := a.target
+	t.limit.resetPause()
+	t.slowness += slownessShare * (min(x, 2*overdueFactor) - t.slowness)
+	s.tail(a.Route).add(x, 1)
+	switch {
+	case a.started.Before(t.faultyAt):
+	case x > slowAnswerFactor:
+		t.belief.observe(now, ratioSlow)
+	default:
+		t.belief.observe(now, ratioAnswered)
+	}
+}
+
+// learnFailure updates the belief about a target by a failure.
+func (s *leastCost) learnFailure(now time.Time, a *leastCostAttempt, k failureKind) {
+	t := a.target
+	t.belief.observe(now, s.signature.ratio(k))
+	if s.signature.faulty(k) < foretellsFault {
+		return
 	}
-	if res.Verdict != VerdictAnswered || !a.started.Before(t.lastReset) {
-		// An answer to an attempt that started before the target's last reset is no
-		// evidence about the target since then.
-		t.belief.observe(now, likelihoodRatio(res.Verdict, slowness))
+	// A target that resets a request is faulty now, one that left it unanswered has
+	// been since the request arrived.
+	shown := now
+	if k == failureHang {
+		shown = a.started
 	}
-	s.updateSuspicion(now, t)
+	t.faultyAt = latest(t.faultyAt, shown)
+	t.belief.hold(shown.Add(faultHold))
+}
+
+// learnPending counts an attempt without an answer as a slow one, as far as its
+// target is not likely to be faulty.
+func (s *leastCost) learnPending(now time.Time, a *leastCostAttempt) {
+	if x := slowness(now.Sub(a.started), s.latency(a.Route)); x > pendingFactor {
+		s.tail(a.Route).add(x, 1-a.target.belief.probability(now))
+	}
+}
+
+// pendingRatio returns the likelihood ratio of an attempt that has had no answer until
+// now. It is 1 while most targets are slow, because the cause is common to them.
+func (s *leastCost) pendingRatio(now time.Time, a *leastCostAttempt) float64 {
+	age, usual := now.Sub(a.started), s.latency(a.Route)
+	if age < pendingMin || float64(age) < pendingFactor*float64(usual) || s.slowInCommon {
+		return 1
+	}
+	return s.tail(a.Route).pendingRatio(slowness(age, usual), s.signature.hangShare())
+}
+
+// tail returns the distribution of a route's latencies.
+func (s *leastCost) tail(route string) *latencyTail {
+	l := s.tails[route]
+	if l == nil {
+		l = &latencyTail{}
+		s.tails[route] = l
+	}
+	return l
+}
+
+// mostAreOverdue reports whether most of the busy targets have an overdue attempt.
+func (s *leastCost) mostAreOverdue(now time.Time) bool {
+	busy, overdue := 0, 0
+	for _, t := range s.order {
+		if len(t.running) == 0 {
+			continue
+		}
+		busy++
+		for _, a := range t.running {
+			if now.Sub(a.started) > overdueAge(s.latency(a.Route)) {
+				overdue++
+				break
+			}
+		}
+	}
+	return busy >= commonTargets && float64(overdue) >= commonShare*float64(busy)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // lowerLimit lowers the limit to the number of attempts that t runs, after a
--- a/pool/leastcost_queue.go
+++ b/pool/leastcost_queue.go
@@ -99,6 +99,6 @@
 		Time: now, Kind: event.KindRefusal, Service: s.cfg.Service, Request: fmt.Sprint(a.ID), Rule: string(r.Reason),
 		Evidence: event.Evidence{Queued: len(s.waiting), Wait: s.drainTime(a), HealthySlots: s.slots(a), Detail: a.earlierAttempts()},
 	})
-	s.countLoss(true)
+	s.losses.add(now, true)
 	s.delegate.Refuse(a.ID, r)
 }
--- a/pool/leastcost_spread.go
+++ b/pool/leastcost_spread.go
@@ -11,14 +11,15 @@
 	inUseShare = 0.9
 	inUseRisk  = 0.33
 	spreadTime = 1600 * time.Millisecond
-	// spreadLossShare is the share of lost requests above which at least spreadShare
-	// of all targets are used within spreadTime. Retryable attempts go to targets up
-	// to spreadRisk then, and others up to spreadUnsafeRisk. A target that reset a
-	// request some seconds ago may be sound again, and the floor then counts it.
-	spreadLossShare  = 0.07
-	spreadShare      = 0.85
+	// While much is lost, all targets up to spreadRisk are used within spreadTime. The
+	// floor counts a target as sound again 2 s after it failed a request, whether or
+	// not it still fails, and leaves out the disrupted ones: if many are, few unused
+	// targets may be most of those that count. Targets that have relapsed maxRelapses
+	// times, which takes longer than faults of single targets usually last, are used
+	// less often.
 	spreadRisk       = 0.95
-	spreadUnsafeRisk = 0.6
+	maxRelapses      = 4
+	relapsedInterval = 4 * spreadTime
 	// spreadRecount is how long a count of the targets in use remains valid.
 	spreadRecount = 25 * time.Millisecond
 )
@@ -32,14 +33,14 @@
 // chooseIdle returns the idle target where a costs least while too few targets
 // are in use, and nil otherwise.
 func (s *leastCost) chooseIdle(r *round, a *leastCostAttempt) *leastCostTarget {
-	limit := s.spreadLimit(a)
+	limit := s.spreadLimit(r.now, a)
 	if !s.spreadDue(r, a.retryable(), limit) {
 		return nil
 	}
 	var best *leastCostTarget
 	var bestCost time.Duration
 	for _, t := range r.free {
-		if r.now.Sub(t.lastUsed) < spreadTime || !a.fits(t) {
+		if r.now.Sub(t.lastUsed) < t.spreadInterval() || !a.fits(t) {
 			continue
 		}
 		risk := s.riskFor(r, a, t)
@@ -53,30 +54,49 @@
 	return best
 }
 
+// spreadInterval returns the time within which t is used while too few targets are.
+func (t *leastCostTarget) spreadInterval() time.Duration {
+	if t.relapses >= maxRelapses {
+		return relapsedInterval
+	}
+	return spreadTime
+}
+
+// countRelapse counts a failure of an attempt that was sent to t although t had failed
+// before, and forgets them all once t answers.
+func (t *leastCostTarget) countRelapse(now time.Time, a *leastCostAttempt, failure failureKind) {
+	switch {
+	case failure == noFailure:
+		t.relapses, t.failedAt = 0, time.Time{}
+	case t.failedAt.IsZero():
+		t.failedAt = now
+	case a.started.Sub(t.failedAt) >= spreadTime/2:
+		t.relapses++
+		t.failedAt = now
+	}
+}
+
 // spreadLimit returns the risk up to which a may be given to idle targets.
-func (s *leastCost) spreadLimit(a *leastCostAttempt) float64 {
+func (s *leastCost) spreadLimit(now time.Time, a *leastCostAttempt) float64 {
 	switch {
-	case s.lossShare > spreadLossShare && a.retryable():
+	case s.losses.much(now):
 		return spreadRisk
-	case s.lossShare > spreadLossShare:
-		return spreadUnsafeRisk
 	case a.retryable():
 		return likelyRisk
 	}
 	return inUseRisk
 }
 
-// spreadDue reports whether too few targets are in use: of all targets while many
-// requests are lost, else of those with a risk up to the limit.
+// spreadDue reports whether too few targets with a risk up to the limit are in use.
+// While much is lost, all of them have to be.
 func (s *leastCost) spreadDue(r *round, retryable bool, limit float64) bool {
+	if s.losses.much(r.now) {
+		return true
+	}
 	state := s.spread[retryable]
 	if r.now.Sub(state.counted) < spreadRecount {
 		return state.due
 	}
-	share := inUseShare
-	if s.lossShare > spreadLossShare {
-		share, limit = spreadShare, 1
-	}
 	likely, used := 0, 0
 	for _, t := range s.order {
 		if !t.usable() || s.riskOf(r, t) > limit {
@@ -87,7 +107,7 @@
 			used++
 		}
 	}
-	state = spreadState{counted: r.now, due: float64(used) < share*float64(likely)}
+	state = spreadState{counted: r.now, due: float64(used) < inUseShare*float64(likely)}
 	s.spread[retryable] = state
 	return state.due
 }
--- a/pool/leastcost_test.go
+++ b/pool/leastcost_test.go
@@ -232,6 +232,21 @@
 	qt.Check(t, r.started, qt.HasLen, 2)
 }
 
+// A node has a connection to a target of another availability zone that runs a request
+// already. It must be used rather than a new one to an idle target of the node's zone:
+// targets that are equally sound must not cost a connection for most requests.
+func TestOpenConnectionIsUsedAmongSoundTargets(t *testing.T) {
+	s, r := leastCostService(1)
+	s.usualLatency["r"] = 200 * time.Millisecond
+	s.SetTargets(epoch, []Target{{Name: "a", Slots: 2, AvailabilityZone: "far"}, {Name: "b", Slots: 2, AvailabilityZone: "near"}})
+	for id := RequestID(1); id <= 2; id++ {
+		q := unsafeRequest(id, epoch)
+		q.Prefer, q.AvailabilityZone = []string{"a"}, "near"
+		s.Submit(epoch, q)
+	}
+	qt.Check(t, r.started, qt.DeepEquals, map[RequestID]string{1: "a", 2: "a"})
+}
+
 func TestLeavingTargetGetsNoMoreWork(t *testing.T) {
 	s, r := leastCostService(2)
 	s.SetTargets(epoch, []Target{{Name: "a", Slots: 2, Leaving: true}, {Name: "b", Slots: 2}})
--- /dev/null
+++ b/pool/lossshare.go
@@ -0,0 +1,72 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// lossWindow is the time over which the floor counts lost requests.
+	lossWindow = 2 * time.Second
+	// lossParts is the number of parts of the window that are counted separately.
+	lossParts = 20
+	// lossPriorRequests is a number of requests without a loss that is always
+	// counted, so that the first losses of a quiet service do not make a large share.
+	lossPriorRequests = 2
+	// The share of lost requests counts as much above usualLossShare plus
+	// lossDeviation divided by the square root of the number of requests, by which it
+	// varies, and in any case above muchLossShare. The floor holds from a tenth on, but
+	// of the requests of some hosts only, which may lose more than the others.
+	usualLossShare = 0.05
+	lossDeviation  = 0.3
+	muchLossShare  = 0.08
+)
+
+// lossShare is the share of the requests of the last lossWindow that were lost. It
+// covers the same time at any rate of requests: over a number of requests instead,
+// chance alone would make the share of a busy service exceed any limit now and then.
+type lossShare struct {
+	parts [lossParts]lossPart
+}
+
+// lossPart has the requests that ended in one part of the window.
+type lossPart struct {
+	number         int64
+	requests, lost int
+}
+
+// partNumber returns the number of the part that contains a time.
+func partNumber(at time.Time) int64 { return at.UnixNano() / int64(lossWindow/lossParts) }
+
+// add counts a request that has ended.
+func (l *lossShare) add(now time.Time, lost bool) {
+	n := partNumber(now)
+	p := &l.parts[n%lossParts]
+	if p.number != n {
+		*p = lossPart{number: n}
+	}
+	p.requests++
+	if lost {
+		p.lost++
+	}
+}
+
+// much reports whether so much is lost that the floor may hold.
+func (l *lossShare) much(now time.Time) bool {
+	share, requests := l.at(now)
+	return share > min(muchLossShare, usualLossShare+lossDeviation/math.Sqrt(requests))
+}
+
+// at returns the share at the given time and the number of requests.
+func (l *lossShare) at(now time.Time) (share, requests float64) {
+	oldest := partNumber(now) - lossParts + 1
+	requests = lossPriorRequests
+	lost := 0.0
+	for _, p := range l.parts {
+		if p.number >= oldest {
+			requests += float64(p.requests)
+			lost += float64(p.lost)
+		}
+	}
+	return lost / requests, requests
+}
