pool: the test of open connections begins with equally sound targets

Cause: the test committed with failed; its second target was newly listed, which goes first on purpose. It was committed by mistake before its run was read. Change: both targets are in the first list.

--- a/pool/leastcost_test.go
+++ b/pool/leastcost_test.go
@@ -236,7 +236,8 @@
 // already. It must be used rather than a new one to an idle target of the node's zone:
 // targets that are equally sound must not cost a connection for most requests.
 func TestOpenConnectionIsUsedAmongSoundTargets(t *testing.T) {
-	s, r := leastCostService(1)
+	r := newRecorder()
+	s := NewLeastCost(Config{Service: "s"}, r, 1).(*leastCost)
 	s.usualLatency["r"] = 200 * time.Millisecond
 	s.SetTargets(epoch, []Target{{Name: "a", Slots: 2, AvailabilityZone: "far"}, {Name: "b", Slots: 2, AvailabilityZone: "near"}})
 	for id := RequestID(1); id <= 2; id++ {
