gateway: a request that is sent to the same target again uses a new connection

Cause: a target that refused a request may get it again, with the same id. If it sent a second copy of the refusal late, on the same connection, that copy was taken for the answer to the second attempt: a booking that the target ran was called not run, refused with 503 or sent to another target. Change: such an attempt opens a connection of its own. Elsewhere the id tells the copy from the answer, because no other attempt sends an id to a target twice.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,7 +102,7 @@
 	}
 	granted(decision.Grant)
 	start := time.Now()
-	res := n.send(ctx, r, target)
+	res := n.send(ctx, r, target, p)
 	crashed := res.verdict == pool.VerdictReset && decision.SuspectedPoison && isDown(target.Address)
 	res.granted, res.target, res.targetName, res.home = true, target.ID, decision.Target, decision.Home
 	n.unreachable.record(time.Now(), decision.Target, res.verdict)
@@ -152,13 +152,16 @@
 	return false
 }
 
-// send sends the request to a target and reads the complete answer.
-func (n *Node) send(ctx context.Context, r *request, t platform.Target) attemptResult {
+// send sends the request of a planned attempt to a target and reads the complete answer.
+func (n *Node) send(ctx context.Context, r *request, t platform.Target, p attemptPlan) attemptResult {
 	out := r.newTargetRequest()
 	out.Header.Set(platform.HeaderTimeLeft, platform.FormatTimeLeft(time.Until(r.deadline)))
 	out.Header.Set(platform.HeaderExpectTarget, t.ID)
 	answer, failure := n.targets.Do(ctx, exchange.Call{
 		Address: t.Address, Request: out, MaxResponseBytes: r.route.MaxResponseBytes, Unframed: true,
+		// On the connection of the earlier attempt, a late second copy of its answer
+		// would be taken for the answer to this one, as both have the same id.
+		NoReuse: len(p.only) > 0,
 	})
 	var body *exchange.BufferedBody
 	var idle time.Duration
