pool, gateway/ingress: only the monotonic clock decides what is recent

The window also covered 1.9 s only, just after a part began: at 15 requests a second a share of 0.129 was not noticed. Change: both count from a moment of their own; the window keeps one part more.

--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -68,8 +68,10 @@
 	inFlight    atomic.Int64
 	// writeTimeout is the write timeout of the sockets; tests shorten it.
 	writeTimeout time.Duration
-	// lastArrival is when a connection or a request last arrived, in nanoseconds of
-	// Unix time.
+	// created is when Listen was called. lastArrival is the time from then until a
+	// connection or a request last arrived. The time of day may jump during a drain,
+	// which ends by this time.
+	created     time.Time
 	lastArrival atomic.Int64
 
 	// running is set once Run was called; stopped is closed when Run returns.
@@ -92,7 +94,7 @@
 	}
 	s := &Server{
 		handler: h, observer: o, listener: listener{l.(*net.TCPListener)}, writeTimeout: writeTimeout, conns: make(map[*conn]bool),
-		stopped: make(chan struct{}), socketClosed: make(chan struct{}, 1),
+		stopped: make(chan struct{}), socketClosed: make(chan struct{}, 1), created: time.Now(),
 	}
 	s.transport = standard.NewTransporter(&config.Options{Listener: s.listener, Network: "tcp", Addr: address, OnAccept: s.onAccept})
 	return s, nil
@@ -121,10 +123,10 @@
 
 // SinceLastArrival returns the time since a connection or a request last arrived.
 func (s *Server) SinceLastArrival() time.Duration {
-	return time.Since(time.Unix(0, s.lastArrival.Load()))
+	return time.Since(s.created) - time.Duration(s.lastArrival.Load())
 }
 
-func (s *Server) noteArrival() { s.lastArrival.Store(time.Now().UnixNano()) }
+func (s *Server) noteArrival() { s.lastArrival.Store(int64(time.Since(s.created))) }
 
 // Drain makes each connection close after its next answer, unless further
 // requests that were read from it wait for theirs.
--- a/gateway/ingress/shutdown_test.go
+++ b/gateway/ingress/shutdown_test.go
@@ -132,3 +132,13 @@
 	_, err = net.Dial("tcp", s.Addr().String())
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// TestLastArrivalIgnoresTheTimeOfDay guards against a drain that ends early or late
+// because the time of day jumps: only the time since the Server was created counts.
+func TestLastArrivalIgnoresTheTimeOfDay(t *testing.T) {
+	s := &Server{created: time.Now().Add(-time.Minute)}
+	s.noteArrival()
+	arrived := time.Duration(s.lastArrival.Load())
+	qt.Check(t, arrived >= time.Minute && arrived <= time.Since(s.created), qt.IsTrue, qt.Commentf("%s", arrived))
+	qt.Check(t, s.SinceLastArrival() < 10*time.Second, qt.IsTrue)
+}
--- a/pool/lossshare.go
+++ b/pool/lossshare.go
@@ -8,7 +8,8 @@
 const (
 	// lossWindow is the time over which the floor counts lost requests.
 	lossWindow = 2 * time.Second
-	// lossParts is the number of parts of the window that are counted separately.
+	// lossParts is the number of parts of the window that are counted separately. One
+	// more is kept, so that the window is always covered.
 	lossParts = 20
 	// lossPriorRequests is a number of requests without a loss that is always
 	// counted, so that the first losses of a quiet service do not make a large share.
@@ -26,7 +27,9 @@
 // covers the same time at any rate of requests: over a number of requests instead,
 // chance alone would make the share of a busy service exceed any limit now and then.
 type lossShare struct {
-	parts [lossParts]lossPart
+	// origin is when the first request ended.
+	origin time.Time
+	parts  [lossParts + 1]lossPart
 }
 
 // lossPart has the requests that ended in one part of the window.
@@ -35,13 +38,19 @@
 	requests, lost int
 }
 
-// partNumber returns the number of the part that contains a time.
-func partNumber(at time.Time) int64 { return at.UnixNano() / int64(lossWindow/lossParts) }
+// partNumber returns the number of the part that contains a time. The first is
+// above lossParts, so that no number is that of an empty part.
+func (l *lossShare) partNumber(at time.Time) int64 {
+	return lossParts + 1 + int64(at.Sub(l.origin)/(lossWindow/lossParts))
+}
 
 // add counts a request that has ended.
 func (l *lossShare) add(now time.Time, lost bool) {
-	n := partNumber(now)
-	p := &l.parts[n%lossParts]
+	if l.origin.IsZero() {
+		l.origin = now
+	}
+	n := l.partNumber(now)
+	p := &l.parts[n%int64(len(l.parts))]
 	if p.number != n {
 		*p = lossPart{number: n}
 	}
@@ -59,7 +68,7 @@
 
 // at returns the share at the given time and the number of requests.
 func (l *lossShare) at(now time.Time) (share, requests float64) {
-	oldest := partNumber(now) - lossParts + 1
+	oldest := l.partNumber(now) - lossParts
 	requests = lossPriorRequests
 	lost := 0.0
 	for _, p := range l.parts {
--- a/pool/lossshare_test.go
+++ b/pool/lossshare_test.go
@@ -55,3 +55,20 @@
 		}
 	}
 }
+
+// The time of day jumps on a host. Only the monotonic clock may decide which requests
+// are recent.
+func TestLossShareIgnoresTheTimeOfDay(t *testing.T) {
+	var l lossShare
+	start := time.Now()
+	for i := range 100 {
+		l.add(start.Add(time.Duration(i)*time.Millisecond), true)
+	}
+	share, requests := l.at(start.Add(100 * time.Millisecond))
+	qt.Check(t, requests, qt.Equals, 100.0+lossPriorRequests)
+	qt.Check(t, share > 0.9, qt.IsTrue)
+	share, _ = l.at(start.Add(lossWindow + time.Second))
+	qt.Check(t, share, qt.Equals, 0.0)
+	qt.Check(t, l.partNumber(start.Add(time.Second)), qt.Equals, int64(lossParts+1+lossParts/2))
+	qt.Check(t, (&lossShare{}).much(start), qt.IsFalse, qt.Commentf("before the first request"))
+}
