--- a/pool/leastcost.go
+++ b/pool/leastcost.go
@@ -32,14 +32,6 @@
 	// this multiple of the usual latency, and at least after this time.
 	overdueFactor = 3
 	overdueMin    = 150 * time.Millisecond
-	// pendingFactor and pendingMin define when a running attempt is evidence against
-	// its target: after this multiple of the usual latency, and at least this time.
-	pendingFactor = 1
-	pendingMin    = 50 * time.Millisecond
-	// commonShare is the share of the busy targets with an overdue attempt from which
-	// on the cause is assumed to be common, and commonTargets the least number of them.
-	commonShare   = 0.6
-	commonTargets = 4
 	// limitRecovery is the time after which a lowered limit rises by one slot.
 	// limitShare is the least share of the slots to which it is lowered: a refusal may
 	// be part of a gray failure, and a retry costs little.
