pool: a failure that nothing has followed keeps its prior

Each of 32 broken targets failed its first attempt and was avoided, so that no attempt followed; but the share of clean targets that fail rose to a quarter, and against that the prior of cut answers (0.15 fail next) foretold nothing: the broken targets were used again. Change: the prior is the probability of a fault, not of the next failure. Hangs have twice the prior share of faults.

--- a/pool/signature.go
+++ b/pool/signature.go
@@ -42,15 +42,16 @@
 	maxHistory  = 24
 )
 
-// followPriors are the shares of attempts that fail after a failure of each kind on
-// the same target, as assumed before any was seen.
-var followPriors = [failureKinds]float64{
-	failureReset: 0.7, failureHang: 0.7, failureError: 0.15, failureTruncated: 0.15, failureUnreachable: 0.25,
+// faultyPriors are the probabilities that a target is faulty after a failure of each
+// kind, as assumed before any attempt followed one.
+var faultyPriors = [failureKinds]float64{
+	failureReset: 0.87, failureHang: 0.87, failureError: 0.156, failureTruncated: 0.156, failureUnreachable: 0.286,
 }
 
-// faultPriors are the assumed numbers of faults of each kind before any was seen.
+// faultPriors are the assumed numbers of faults of each kind before any was seen. Hangs
+// have more, because they are noticed late unless they are expected.
 var faultPriors = [failureKinds]float64{
-	failureReset: 1, failureHang: 1, failureError: 0.5, failureTruncated: 0.5, failureUnreachable: 0.5,
+	failureReset: 1, failureHang: 2, failureError: 0.5, failureTruncated: 0.5, failureUnreachable: 0.5,
 }
 
 // cleanPrior is the assumed share of failures on targets without a recent failure.
@@ -165,9 +166,12 @@
 }
 
 // faulty returns the probability that a target is faulty after one failure of a kind.
+// As long as no attempt has followed such a failure, that is its prior, however many
+// clean targets fail.
 func (g *signature) faulty(k failureKind) float64 {
 	clean := min(g.clean.mean(cleanPrior), failureShare/2)
-	p := (g.following[k].mean(followPriors[k]) - clean) / (failureShare - clean)
+	prior := clean + faultyPriors[k]*(failureShare-clean)
+	p := (g.following[k].mean(prior) - clean) / (failureShare - clean)
 	return min(max(p, usualFaulty), maxFaulty)
 }
 
--- a/pool/signature_internal_test.go
+++ b/pool/signature_internal_test.go
@@ -131,3 +131,23 @@
 		qt.Check(t, s.risk(now, target) < unsafeRiskMax, qt.IsTrue)
 	}
 }
+
+// Many targets fail their first attempt and are avoided from then on. That shows
+// nothing of what follows such a failure, so that it must count as before: a service
+// with many broken targets must not be taken for one that fails at random.
+func TestFailuresWithoutFollowersKeepTheirPrior(t *testing.T) {
+	for kind := failureReset; kind < failureKinds; kind++ {
+		var g signature
+		before := g.faulty(kind)
+		for i := range 60 {
+			var h targetHistory
+			failure := noFailure
+			if i%2 == 0 {
+				failure = kind
+			}
+			g.record(epoch, &h, endedAttempt{epoch, failure})
+		}
+		after := g.faulty(kind)
+		qt.Check(t, after > 0.99*before && after < 1.01*before, qt.IsTrue, qt.Commentf("kind %d: %.3f before, %.3f after", kind, before, after))
+	}
+}
