pool: unsafe work waits for a busy target rather than take a likely failure

Attempts without an answer now make a busy target doubtful (risk 0.3), above the 0.25 up to which work that may run once waits for it; so a booking went to a target with a risk of 0.76 instead. Change: if the best free target is likely to fail it, such work also waits for targets with a risk up to 0.4.

--- a/pool/leastcost_choose.go
+++ b/pool/leastcost_choose.go
@@ -23,9 +23,11 @@
 	avoidRisk = 0.9
 	// unsafeRiskMax and retryableRiskMax are the risks above which an attempt waits
 	// for a better target, if there is one and the attempt has time. unsafeRiskMax
-	// applies to attempts that may not be retried.
+	// applies to attempts that may not be retried. If the failure of such an attempt is
+	// likely, it also waits for a target with a risk up to likelierRiskMax.
 	unsafeRiskMax    = 0.25
 	retryableRiskMax = 0.55
+	likelierRiskMax  = 0.4
 	// maxMisses is the number of restricted attempts for which one round searches a
 	// target without success. More searches would take too much of a home's CPU time.
 	maxMisses = 32
@@ -218,6 +220,9 @@
 		limit = retryableRiskMax
 	}
 	risk := s.riskFor(r, a, best)
+	if risk > likelyRisk {
+		limit = max(limit, likelierRiskMax)
+	}
 	if risk > limit && r.now.Before(s.waitUntil(a, risk)) && s.busyTargetWithin(r, limit) {
 		return nil
 	}
