gateway: log lines tell by which source and how complete a copy a target was used

What callers saw: requests reached targets that had left, and the logs could not tell whether the node had kept them, had not been told, or had been told late. Change: lines of targets and configurations name their source; a target that is kept although it is missing has a line; 'store read' tells the age of the copy beside that of the node's own last read, which read like an outage; an answered request tells the revision by which its target was in use, and the copy's age. The age is a metric, too. No logic changes. gateway/replica and gateway/follow pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -94,10 +94,12 @@
 		report.ID, report.Service = a.ID, a.Service
 		decision.Finish(report)
 	}()
-	target, ok := n.replica.View().Target(r.service, decision.Target)
+	view, copyAge := n.replica.View(), n.follower.CopyAge()
+	target, ok := view.Target(r.service, decision.Target)
 	if !ok || target.Leaving {
 		report.Leaving = target.Leaving
-		n.log.Info("grant not used: the target is leaving or gone", "request", r.id, "target", decision.Target, "home", decision.Home)
+		n.log.Info("grant not used: the target is leaving or gone", "request", r.id, "target", decision.Target, "home", decision.Home,
+			"listed_at", view.Revision)
 		return attemptResult{result: refusedResult(outcome.ReasonNoTarget, minRetryAfter), notRun: true, failed: true, verdict: pool.VerdictRefused}
 	}
 	granted(decision.Grant)
@@ -105,6 +107,7 @@
 	res := n.send(ctx, r, target, p)
 	crashed := res.verdict == pool.VerdictReset && decision.SuspectedPoison && isDown(target.Address)
 	res.granted, res.target, res.targetName, res.home = true, target.ID, decision.Target, decision.Home
+	res.listedAt, res.copyAge = view.Revision, copyAge
 	n.unreachable.record(time.Now(), decision.Target, res.verdict)
 	report = balance.Report{Verdict: res.verdict, Latency: time.Since(start), Crashed: crashed}
 	n.stats.attempts.Add(res.verdict.String(), 1)
@@ -117,7 +120,7 @@
 	}
 	logAttempt("attempt ended", "request", r.id, "service", r.service, "target", target.ID, "home", decision.Home, "verdict", res.verdict.String(),
 		"latency_ms", time.Since(start).Milliseconds(), "repeat", p.kind, "waited_ms", decision.Waited.Milliseconds(),
-		"left", decision.TokensLeft, "idle_ms", res.idle.Milliseconds(), "breach", string(res.breach), "detail", res.outcome.Detail)
+		"left", decision.TokensLeft, "listed_at", view.Revision, "copy_age_ms", copyAge.Milliseconds(), "idle_ms", res.idle.Milliseconds(), "breach", string(res.breach), "detail", res.outcome.Detail)
 	return res
 }
 
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -60,13 +60,13 @@
 			return err
 		}
 		if reply.Leaving {
-			f.merge(reply)
+			f.merge(n.Name, reply)
 			return errLeaving
 		}
 		hold = wait
 		f.recordAnswer(n.Name, reply.Age)
 		if !notice {
-			f.merge(reply)
+			f.merge(n.Name, reply)
 		} else if !f.awaitRevision(ctx, reply.Through) {
 			notice = false
 			continue
@@ -119,12 +119,13 @@
 }
 
 // merge applies a relay's reply to the replica.
-func (f *Follower) merge(reply changesReply) {
+func (f *Follower) merge(relay string, reply changesReply) {
+	source := "relay " + relay
 	if reply.Snapshot {
-		f.cfg.Replica.Replace(reply.Changes, reply.Through, false)
+		f.cfg.Replica.Replace(source, reply.Changes, reply.Through, false)
 		return
 	}
-	f.cfg.Replica.Apply(reply.Changes, reply.Through)
+	f.cfg.Replica.Apply(source, reply.Changes, reply.Through)
 }
 
 // peerOf returns the address and identity of a node for calls. The name of a seed is
--- a/gateway/follow/sharers.go
+++ b/gateway/follow/sharers.go
@@ -44,6 +44,14 @@
 	return found
 }
 
+// CopyAge returns the time since the store last confirmed this node's replica, to the
+// node itself or to a relay.
+func (f *Follower) CopyAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replicaAge(time.Now())
+}
+
 // replicaAge returns the time since the store last confirmed this node's replica, to
 // the node itself or to a relay. It must be called with mu held.
 func (f *Follower) replicaAge(now time.Time) time.Duration {
--- a/gateway/follow/sharers_test.go
+++ b/gateway/follow/sharers_test.go
@@ -26,7 +26,7 @@
 		for _, name := range names {
 			revision++
 			n := replica.Node{Name: name, ControlAddress: name}
-			r.Apply([]platform.Item{{Key: n.Key(), Value: n.Encode(), Revision: revision}}, revision)
+			r.Apply("test", []platform.Item{{Key: n.Key(), Value: n.Encode(), Revision: revision}}, revision)
 		}
 	}
 }
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -47,6 +47,12 @@
 	minOutage = time.Second
 )
 
+// Sources of changes, as log lines name them.
+const (
+	sourceRead  = "store read"
+	sourceWatch = "store watch"
+)
+
 var errWatchStalled = errors.New("the watch did not deliver a change")
 
 // followStore follows the store whenever this node needs to, until the context ends.
@@ -75,13 +81,14 @@
 func (f *Follower) follow(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	staleFor, known := f.storeAge(), f.everConfirmed()
+	staleFor, known, copyAge := f.storeAge(), f.everConfirmed(), f.CopyAge()
 	at, err := f.readSnapshot(ctx, staleFor)
 	if err != nil {
 		return err
 	}
 	if known {
-		f.cfg.Log.Info("store read", "revision", at, "away_ms", staleFor.Milliseconds())
+		f.cfg.Log.Info("store read", "revision", at, "own_read_age_ms", staleFor.Milliseconds(),
+			"copy_age_ms", copyAge.Milliseconds())
 	} else {
 		f.cfg.Log.Info("store read for the first time", "revision", at)
 	}
@@ -128,7 +135,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.cfg.Replica.Replace(content, at, staleFor > minOutage)
+	f.cfg.Replica.Replace(sourceRead, content, at, staleFor > minOutage)
 	f.recordConfirmation(start)
 	return at, nil
 }
--- a/gateway/follow/watch.go
+++ b/gateway/follow/watch.go
@@ -25,7 +25,7 @@
 		if err != nil {
 			return err
 		}
-		w.follower.cfg.Replica.Apply(changes, next)
+		w.follower.cfg.Replica.Apply(sourceWatch, changes, next)
 		w.at.Store(int64(next))
 		w.follower.recordConfirmation(time.Now())
 		sleep(ctx, batchInterval)
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -75,6 +75,10 @@
 	// after the revision changesFrom.
 	changes     []platform.Item
 	changesFrom platform.Revision
+	// source is where the item that is being merged comes from, and implied is set if
+	// it was missing in a snapshot.
+	source  string
+	implied bool
 	// changed is closed and replaced on each change.
 	changed chan struct{}
 
@@ -107,11 +111,12 @@
 	return r.changed
 }
 
-// Apply merges changes, which are complete up to the revision through. It reports
-// whether any of them was new.
-func (r *Replica) Apply(changes []platform.Item, through platform.Revision) bool {
+// Apply merges changes, which are complete up to the revision through. The source
+// names where they come from in log lines. It reports whether any of them was new.
+func (r *Replica) Apply(source string, changes []platform.Item, through platform.Revision) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.source, r.implied = source, false
 	fresh := false
 	for _, item := range changes {
 		fresh = r.merge(item) || fresh
@@ -124,20 +129,26 @@
 // missing in it are removed. If keepTargets is set, missing targets are kept, because
 // they may have been unable to report for a while. Replace reports whether anything
 // was new.
-func (r *Replica) Replace(content []platform.Item, at platform.Revision, keepTargets bool) bool {
+func (r *Replica) Replace(source string, content []platform.Item, at platform.Revision, keepTargets bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.source, r.implied = source, false
 	fresh := false
 	present := make(map[string]bool, len(content))
 	for _, item := range content {
 		present[item.Key] = true
 		fresh = r.merge(item) || fresh
 	}
+	r.implied = true
 	for key, item := range r.items {
-		kept := keepTargets && strings.HasPrefix(key, platform.TargetPrefix)
-		if !present[key] && !item.Deleted && item.Revision <= at && !kept {
-			fresh = r.merge(platform.Item{Key: key, Revision: at, Deleted: true}) || fresh
+		if present[key] || item.Deleted || item.Revision > at {
+			continue
 		}
+		if keepTargets && strings.HasPrefix(key, platform.TargetPrefix) {
+			r.log.Info("target kept although it is missing in the store", "key", key, "source", source, "revision", at)
+			continue
+		}
+		fresh = r.merge(platform.Item{Key: key, Revision: at, Deleted: true}) || fresh
 	}
 	r.publish(at, fresh)
 	return fresh
@@ -195,7 +206,8 @@
 	case strings.HasPrefix(item.Key, platform.TargetPrefix):
 		delete(r.targets, item.Key)
 		if item.Deleted {
-			r.log.Info("target is gone from the store", "key", item.Key, "revision", item.Revision)
+			r.log.Info("target is gone from the store", "key", item.Key, "revision", item.Revision, "source", r.source,
+				"implied", r.implied, "complete_through", r.revision)
 			return
 		}
 		t, err := platform.DecodeTarget(item.Key, item.Value)
@@ -205,7 +217,7 @@
 		}
 		r.targets[item.Key] = t
 		r.log.Info("target listed", "target", t.ID, "service", t.Service, "address", t.Address,
-			"leaving", t.Leaving, "slots", t.Slots, "revision", item.Revision)
+			"leaving", t.Leaving, "slots", t.Slots, "revision", item.Revision, "source", r.source)
 	case strings.HasPrefix(item.Key, NodePrefix):
 		delete(r.nodes, item.Key)
 		if item.Deleted {
@@ -236,7 +248,8 @@
 	}
 	r.config = cfg
 	r.table = routing.NewTable(cfg)
-	r.log.Info("configuration in force", "version", cfg.Revision, "revision", item.Revision, "routes", len(cfg.Routes))
+	r.log.Info("configuration in force", "version", cfg.Revision, "revision", item.Revision, "routes", len(cfg.Routes),
+		"source", r.source)
 }
 
 // publish makes the merged state visible as a new View. through is the revision up to
--- a/gateway/replica/replica_test.go
+++ b/gateway/replica/replica_test.go
@@ -36,13 +36,13 @@
 // older one, which arrives later from a stale source or from the store itself.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	r := newReplica()
-	r.Apply([]platform.Item{configuration(7, 20)}, 20)
-	r.Apply([]platform.Item{configuration(3, 10)}, 10)
+	r.Apply("test", []platform.Item{configuration(7, 20)}, 20)
+	r.Apply("test", []platform.Item{configuration(3, 10)}, 10)
 	qt.Check(t, r.View().Config.Revision, qt.Equals, dynamic.Revision(7))
-	r.Replace([]platform.Item{configuration(5, 30)}, 30, false)
+	r.Replace("test", []platform.Item{configuration(5, 30)}, 30, false)
 	qt.Check(t, r.View().Config.Revision, qt.Equals, dynamic.Revision(7))
-	r.Apply([]platform.Item{{Key: platform.ConfigurationKey, Revision: 31, Deleted: true}}, 31)
-	r.Apply([]platform.Item{{Key: platform.ConfigurationKey, Value: []byte("{"), Revision: 32}}, 32)
+	r.Apply("test", []platform.Item{{Key: platform.ConfigurationKey, Revision: 31, Deleted: true}}, 31)
+	r.Apply("test", []platform.Item{{Key: platform.ConfigurationKey, Value: []byte("{"), Revision: 32}}, 32)
 	qt.Check(t, r.View().Config.Revision, qt.Equals, dynamic.Revision(7))
 	qt.Check(t, r.View().Table.Match("h", "/v7/x"), qt.IsNotNil)
 	qt.Check(t, r.View().Table.Match("h", "/v7"), qt.IsNil, qt.Commentf("the prefix ends with a slash"))
@@ -50,20 +50,20 @@
 
 func TestNewestOfEachKeyCounts(t *testing.T) {
 	r := newReplica()
-	r.Apply([]platform.Item{target("a", "10.0.0.1:1", "draining", 5)}, 5)
-	r.Apply([]platform.Item{target("a", "10.0.0.1:1", "ready", 4), target("b", "10.0.0.2:1", "ready", 3)}, 4)
+	r.Apply("test", []platform.Item{target("a", "10.0.0.1:1", "draining", 5)}, 5)
+	r.Apply("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 4), target("b", "10.0.0.2:1", "ready", 3)}, 4)
 	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a", "b"})
 	qt.Check(t, r.View().Targets["s"][0].Leaving, qt.IsTrue)
 	qt.Check(t, r.View().Revision, qt.Equals, platform.Revision(5))
-	r.Apply([]platform.Item{{Key: platform.TargetPrefix + "b", Revision: 6, Deleted: true}}, 6)
-	r.Apply([]platform.Item{target("b", "10.0.0.2:1", "ready", 3)}, 3)
+	r.Apply("test", []platform.Item{{Key: platform.TargetPrefix + "b", Revision: 6, Deleted: true}}, 6)
+	r.Apply("test", []platform.Item{target("b", "10.0.0.2:1", "ready", 3)}, 3)
 	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a"})
 }
 
 func TestUndecodableEntryIsNoTarget(t *testing.T) {
 	r := newReplica()
-	r.Apply([]platform.Item{target("a", "10.0.0.1:1", "ready", 1), target("b", "10.0.0.2:1", "ready", 2)}, 2)
-	r.Apply([]platform.Item{{Key: platform.TargetPrefix + "a", Value: []byte(`{"address":7}`), Revision: 3}}, 3)
+	r.Apply("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 1), target("b", "10.0.0.2:1", "ready", 2)}, 2)
+	r.Apply("test", []platform.Item{{Key: platform.TargetPrefix + "a", Value: []byte(`{"address":7}`), Revision: 3}}, 3)
 	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"b"})
 }
 
@@ -71,16 +71,16 @@
 // entry has not expired yet, while a new target has its address.
 func TestAddressComesBackUnderAnotherTarget(t *testing.T) {
 	r := newReplica()
-	r.Apply([]platform.Item{target("old", "10.0.0.1:1", "ready", 1), target("new", "10.0.0.1:1", "ready", 2)}, 2)
+	r.Apply("test", []platform.Item{target("old", "10.0.0.1:1", "ready", 1), target("new", "10.0.0.1:1", "ready", 2)}, 2)
 	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"new"})
 }
 
 func TestTargetsMissingAfterAnOutage(t *testing.T) {
 	r := newReplica()
-	r.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 1), target("b", "10.0.0.2:1", "ready", 2)}, 2, false)
-	r.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 1)}, 9, true)
+	r.Replace("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 1), target("b", "10.0.0.2:1", "ready", 2)}, 2, false)
+	r.Replace("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 1)}, 9, true)
 	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a", "b"}, qt.Commentf("b may report again"))
-	r.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 1)}, 10, false)
+	r.Replace("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 1)}, 10, false)
 	qt.Check(t, ids(r.View()), qt.DeepEquals, []string{"a"})
 }
 
@@ -91,21 +91,21 @@
 	follow := func() {
 		changes, through, snapshot := from.Changes(to.View().Revision)
 		if snapshot {
-			to.Replace(changes, through, false)
+			to.Replace("test", changes, through, false)
 		} else {
-			to.Apply(changes, through)
+			to.Apply("test", changes, through)
 		}
 		qt.Check(t, to.View().Revision, qt.Equals, from.View().Revision)
 		qt.Check(t, ids(to.View()), qt.DeepEquals, ids(from.View()))
 	}
-	from.Replace([]platform.Item{target("a", "10.0.0.1:1", "ready", 4), configuration(1, 5)}, 6, false)
+	from.Replace("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 4), configuration(1, 5)}, 6, false)
 	follow()
-	from.Apply([]platform.Item{target("b", "10.0.0.2:1", "ready", 7)}, 7)
+	from.Apply("test", []platform.Item{target("b", "10.0.0.2:1", "ready", 7)}, 7)
 	follow()
-	from.Apply([]platform.Item{{Key: platform.TargetPrefix + "a", Revision: 8, Deleted: true}}, 8)
+	from.Apply("test", []platform.Item{{Key: platform.TargetPrefix + "a", Revision: 8, Deleted: true}}, 8)
 	follow()
 	for i := range platform.Revision(2 * maxChanges) {
-		from.Apply([]platform.Item{target("c", "10.0.0.3:1", "ready", 9+i)}, 9+i)
+		from.Apply("test", []platform.Item{target("c", "10.0.0.3:1", "ready", 9+i)}, 9+i)
 	}
 	_, _, snapshot := from.Changes(8)
 	qt.Check(t, snapshot, qt.IsTrue, qt.Commentf("a replica too far behind gets a full snapshot"))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -167,6 +167,10 @@
 	home   string
 	// version is the revision of the configuration by which the request was routed.
 	version dynamic.Revision
+	// listedAt is the store's revision by which the target was in use when the request
+	// was sent to it, and copyAge is the age of the node's replica at that time.
+	listedAt platform.Revision
+	copyAge  time.Duration
 }
 
 // refusedResult returns the result of a request that no target has run.
@@ -224,6 +228,6 @@
 	logLine("answered", "request", string(in.Header.Peek(platform.HeaderRequestID)), "host", string(in.Header.Host()),
 		"path", string(in.Path()), "status", code, "outcome", res.outcome.Kind, "reason", res.outcome.Reason,
 		"detail", res.outcome.Detail, "target", res.target, "home", res.home,
-		"version", res.version, "retry_after_ms", res.outcome.RetryAfter.Milliseconds(),
+		"version", res.version, "listed_at", res.listedAt, "copy_age_ms", res.copyAge.Milliseconds(), "retry_after_ms", res.outcome.RetryAfter.Milliseconds(),
 		"elapsed_ms", time.Since(in.Received).Milliseconds())
 }
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -117,7 +117,7 @@
 	expvar.Publish("answer_memory", expvar.Func(func() any { return n.memory.Use() }))
 	expvar.Publish("configuration", expvar.Func(func() any {
 		view := n.replica.View()
-		state := map[string]int64{"revision": int64(view.Revision)}
+		state := map[string]int64{"revision": int64(view.Revision), "copy_age_ms": n.follower.CopyAge().Milliseconds()}
 		if view.Config != nil {
 			state["version"] = int64(view.Config.Revision)
 		}
