--- a/gateway/follow/follower_test.go
+++ b/gateway/follow/follower_test.go
@@ -66,18 +66,23 @@
 			Self:  replica.Node{Name: name, AvailabilityZone: string(rune('a' + i%2)), ControlAddress: l.Addr().String()},
 			Seeds: seeds[:min(3, n)], FirstStart: true,
 		})
-		ctx, cancel := context.WithCancel(context.Background())
-		m.stop = func() {
-			cancel()
-			_ = transport.Close()
-		}
-		t.Cleanup(m.stop)
-		go m.follower.Run(ctx)
+		m.run(t, transport)
 		members = append(members, m)
 	}
 	return client, members
 }
 
+// run runs the member's follower until the test ends or the member is stopped.
+func (m *member) run(t *testing.T, transport *control.Transport) {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = func() {
+		cancel()
+		_ = transport.Close()
+	}
+	t.Cleanup(m.stop)
+	go m.follower.Run(ctx)
+}
+
 func put(t *testing.T, c *platform.Client, version int) {
 	t.Helper()
 	text := fmt.Sprintf(`{"version":"%08x"}`, version)
--- a/gateway/replica/replica_test.go
+++ b/gateway/replica/replica_test.go
@@ -111,3 +111,22 @@
 	qt.Check(t, snapshot, qt.IsTrue, qt.Commentf("a replica too far behind gets a full snapshot"))
 	follow()
 }
+
+// TestRemovalWithinAGapReachesFollowers guards against a target that stays in use
+// because the relay, which was without the store while the target came and went, passes
+// on its later changes as complete.
+func TestRemovalWithinAGapReachesFollowers(t *testing.T) {
+	relay, node := newReplica(), newReplica()
+	relay.Replace("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 4)}, 6, false)
+	node.Replace("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 4), target("b", "10.0.0.2:1", "ready", 7)}, 7, false)
+	// The target b is removed at revision 8, before the relay reads the store again.
+	relay.Replace("test", []platform.Item{target("a", "10.0.0.1:1", "ready", 4)}, 10, false)
+	changes, through, snapshot := relay.Changes(node.View().Revision)
+	if snapshot {
+		node.Replace("test", changes, through, false)
+	} else {
+		node.Apply("test", changes, through)
+	}
+	qt.Check(t, node.View().Revision, qt.Equals, platform.Revision(10))
+	qt.Check(t, ids(node.View()), qt.DeepEquals, []string{"a"})
+}
