gateway: a node knows since when its copy of the store is complete, whoever told it

What callers saw: requests reached targets up to 2.9 s after these had left, where the relays of a node were lost at that moment. Cause: a copy was passed on as complete up to a revision that it was not complete for. A node that turned from relays to the store took the time since its own last read for an outage and kept all missing targets; it removed them 2.2 s later, with a revision that the nodes polling it had passed, so that they were never told. The age that a relay told was not counted on between its answers, and an answer dated from when it was read. Change: - A copy has one age. It comes from the beginning of a call to the store, or from a relay with the changes up to it, grows all the time and counts suspensions. From 1.4 s on a node follows the store, however many relays seem to answer; from 1.2 s on it asks its relays. Only after an outage (calls of this node failed, and no relay was confirmed meanwhile) do targets stay usable for 2.2 s. That time is passed on with the removal; each copy ends it by itself.

--- a/gateway/balance/loop.go
+++ b/gateway/balance/loop.go
@@ -8,6 +8,7 @@
 
 	"filbertmill.example/event"
 	"filbertmill.example/gateway/replica"
+	"filbertmill.example/gateway/suspend"
 	"filbertmill.example/poison"
 	"filbertmill.example/pool"
 	"filbertmill.example/retry"
@@ -77,7 +78,7 @@
 		poison:   poison.NewTracker(poison.DefaultConfig()),
 		resets:   newRecentResets(),
 
-		suspended: suspendedTime(),
+		suspended: suspend.Total(),
 	}
 }
 
--- a/gateway/balance/second.go
+++ b/gateway/balance/second.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filbertmill.example/gateway/suspend"
 	"filbertmill.example/outcome"
 	"filbertmill.example/retry"
 )
@@ -49,9 +50,9 @@
 // suspended, it first drops all tokens: they may have expired in the meantime, and
 // the monotonic clock does not advance during a suspension.
 func (s *service) takeToken(now time.Time) bool {
-	if suspended := suspendedTime(); suspended > s.loop.suspended+minSuspension {
-		s.loop.cfg.Log.Warn("the host was suspended; retry tokens are dropped", "suspended_ms", (suspended - s.loop.suspended).Milliseconds())
-		s.loop.suspended = suspended
+	if suspended := suspend.Since(s.loop.suspended); suspended > 0 {
+		s.loop.cfg.Log.Warn("the host was suspended; retry tokens are dropped", "suspended_ms", suspended.Milliseconds())
+		s.loop.suspended += suspended
 		for _, other := range s.loop.services {
 			other.retries.Clear()
 		}
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -37,6 +37,8 @@
 	// store had confirmed the relay's replica.
 	lastAnswer time.Time
 	age        time.Duration
+	// askedAt is when the relay was last asked beside the polls.
+	askedAt time.Time
 }
 
 // answers reports whether the relay has answered recently.
@@ -46,16 +48,9 @@
 // relay does not hold the first poll, whose answer shows that the relay is in use.
 // This also leaves time to connect to a relay that is starting.
 func (f *Follower) pollRelay(ctx context.Context, n replica.Node, wait time.Duration) error {
-	to := peerOf(n)
 	notice, hold := false, time.Duration(0)
 	for ctx.Err() == nil {
-		after := f.cfg.Replica.View().Revision
-		callCtx, cancel := context.WithTimeout(ctx, wait+pollGrace)
-		var reply changesReply
-		err := f.cfg.Transport.Call(callCtx, to, kindChanges, changesRequest{
-			After: after, Wait: hold, NoticeOnly: notice, Fresh: f.wasFresh(n.Name),
-		}, &reply)
-		cancel()
+		reply, err := f.poll(ctx, n, hold, wait+pollGrace, notice)
 		if err != nil {
 			return err
 		}
@@ -63,25 +58,75 @@
 			f.merge(n.Name, reply)
 			return errLeaving
 		}
-		hold = wait
 		f.recordAnswer(n.Name, reply.Age)
-		if !notice {
+		switch {
+		case !f.accepts(reply):
+			sleep(ctx, seedTimeout)
+			continue
+		case !notice:
 			f.merge(n.Name, reply)
-		} else if !f.awaitRevision(ctx, reply.Through) {
+		case !f.awaitRevision(ctx, reply.Through):
 			notice = false
 			continue
+		default:
+			f.confirmByRelay(n.Name, reply)
 		}
+		hold = wait
 		notice = f.sameZoneRelayAnswers(n.Name)
 	}
 	return ctx.Err()
 }
 
+// poll calls a relay once.
+func (f *Follower) poll(ctx context.Context, n replica.Node, hold, timeout time.Duration, noticeOnly bool) (changesReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply changesReply
+	start := startCall()
+	err := f.cfg.Transport.Call(ctx, peerOf(n), kindChanges, changesRequest{
+		After: f.cfg.Replica.View().Revision, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.CopyAge(),
+	}, &reply)
+	// The relay answered no earlier than this, whenever the answer is read.
+	answered := start.time().Add(min(reply.Held, time.Since(start.at)))
+	reply.confirmedAt = answered.Add(-reply.Age)
+	reply.unbrokenSince = answered.Add(-reply.Unbroken)
+	return reply, err
+}
+
+// accepts reports whether this node may use the content of a reply. A node that starts
+// takes no old copy while the store may serve it a current one.
+func (f *Follower) accepts(reply changesReply) bool {
+	return reply.Age < maxCopyAge || f.cfg.Replica.View().Revision > 0 || f.storeHasFailed()
+}
+
+// refreshCopy asks the relays to confirm this node's copy when it gets old, because a
+// relay was lost. It saves the calls to the store if another relay is current.
+func (f *Follower) refreshCopy(ctx context.Context, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if age := f.relayAge(now); age < refreshAge || age >= maxCopyAge {
+		return
+	}
+	for _, fd := range f.feeds {
+		if now.Sub(fd.askedAt) < refreshInterval {
+			continue
+		}
+		fd.askedAt = now
+		go func() {
+			// The polls of the feed decide whether a relay that fails here is lost.
+			if reply, err := f.poll(ctx, fd.node, 0, pollGrace, false); err == nil && f.accepts(reply) {
+				f.merge(fd.node.Name, reply)
+			}
+		}()
+	}
+}
+
 // wasFresh reports whether a relay's replica was fresh when it last answered.
 func (f *Follower) wasFresh(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fd := f.feeds[name]
-	return fd != nil && !fd.lastAnswer.IsZero() && fd.age < maxRelayAge
+	return fd != nil && !fd.lastAnswer.IsZero() && fd.age < maxCopyAge
 }
 
 // awaitRevision waits until this node's replica has reached a revision. It returns
@@ -111,7 +156,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for other, fd := range f.feeds {
-		if other != name && f.zoneDistance(fd.node) == 0 && fd.answers(now) && fd.age < maxRelayAge {
+		if other != name && f.zoneDistance(fd.node) == 0 && fd.answers(now) && fd.age < maxCopyAge {
 			return true
 		}
 	}
@@ -120,12 +165,22 @@
 
 // merge applies a relay's reply to the replica.
 func (f *Follower) merge(relay string, reply changesReply) {
-	source := "relay " + relay
-	if reply.Snapshot {
-		f.cfg.Replica.Replace(source, reply.Changes, reply.Through, false)
-		return
+	f.cfg.Replica.Merge(sourceRelay+relay, replica.Delta{
+		Items: reply.Changes, Through: reply.Through, Snapshot: reply.Snapshot, Lapsed: reply.Lapsed,
+	})
+	f.confirmByRelay(relay, reply)
+}
+
+// confirmByRelay records what a relay's reply says of this node's replica, which
+// contains all changes of the reply.
+func (f *Follower) confirmByRelay(relay string, reply changesReply) {
+	f.mu.Lock()
+	f.confirmations.adjust()
+	f.confirmations.record(reply.confirmedAt, true)
+	f.mu.Unlock()
+	if reply.Age < maxCopyAge && f.servedDuringOutage(reply.unbrokenSince) {
+		f.cfg.Replica.EndLapses(sourceRelay + relay)
 	}
-	f.cfg.Replica.Apply(source, reply.Changes, reply.Through)
 }
 
 // peerOf returns the address and identity of a node for calls. The name of a seed is
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -13,6 +13,7 @@
 
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/gateway/replica"
+	"filbertmill.example/gateway/suspend"
 	"filbertmill.example/platform"
 )
 
@@ -25,9 +26,6 @@
 	relaysPolled = 2
 	// reconcileInterval is how often a node reviews which relays it polls.
 	reconcileInterval = 100 * time.Millisecond
-	// maxRelayAge is the age of the store's last confirmation from which on a relay's
-	// replica is stale: changes must be in force within two seconds.
-	maxRelayAge = 1400 * time.Millisecond
 	// relayIdleTime is how long a node continues to watch the store after the last
 	// poll of another node.
 	relayIdleTime = 3 * time.Second
@@ -76,13 +74,12 @@
 	leaving atomic.Bool
 	relays  atomic.Pointer[[]replica.Node]
 
-	mu      sync.Mutex
-	feeds   map[string]*feed
-	outages map[string]*outage
-	// lastPolled is when another node last polled this one. confirmedAt is when the
-	// store last confirmed to this node that its replica is current.
-	lastPolled  time.Time
-	confirmedAt time.Time
+	mu            sync.Mutex
+	feeds         map[string]*feed
+	outages       map[string]*outage
+	confirmations confirmations
+	// lastPolled is when another node last polled this one.
+	lastPolled time.Time
 	// registrationSeenAt is when this node first saw its own registration in its
 	// replica.
 	registrationSeenAt time.Time
@@ -97,7 +94,10 @@
 // New returns a Follower and registers its handler of polls. Run makes it follow the
 // store.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, started: time.Now(), feeds: make(map[string]*feed), outages: make(map[string]*outage)}
+	f := &Follower{
+		cfg: cfg, started: time.Now(), feeds: make(map[string]*feed), outages: make(map[string]*outage),
+		confirmations: confirmations{renewed: make(chan struct{}), suspended: suspend.Total()},
+	}
 	f.relays.Store(&[]replica.Node{})
 	cfg.Transport.Handle(kindChanges, f.serveChanges)
 	return f
@@ -111,6 +111,7 @@
 	defer ticker.Stop()
 	for {
 		f.reconcileFeeds(ctx, time.Now())
+		f.refreshCopy(ctx, time.Now())
 		changed := f.cfg.Replica.Changed()
 		select {
 		case <-ctx.Done():
@@ -263,7 +264,7 @@
 	f.cfg.Log.Warn("relay lost", "relay", name, "error", err, "next_ms", o.backoff.Milliseconds())
 }
 
-// recordAnswer records an answer of a relay whose replica has the given age.
+// recordAnswer records that a relay answered whose replica has the given age.
 func (f *Follower) recordAnswer(name string, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -287,32 +288,6 @@
 	f.lastPolled = time.Now()
 }
 
-// storeAge returns the time since the store last confirmed the replica to this node. If
-// it never did, the result exceeds every limit on the age.
-func (f *Follower) storeAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.confirmedAt.IsZero() {
-		return time.Since(f.started) + time.Hour
-	}
-	return time.Since(f.confirmedAt)
-}
-
-// everConfirmed reports whether the store ever confirmed this node's replica.
-func (f *Follower) everConfirmed() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.confirmedAt.IsZero()
-}
-
-// recordConfirmation records that the replica was current at the given time, as the
-// store confirmed.
-func (f *Follower) recordConfirmation(at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.confirmedAt = at
-}
-
 // publishRelays updates the list of relays that answer. It must be called with mu
 // held.
 func (f *Follower) publishRelays(now time.Time) {
@@ -348,10 +323,8 @@
 	if slices.Contains(f.cfg.Seeds, f.cfg.Self.ControlAddress) && f.cfg.Replica.View().Revision == 0 {
 		return true
 	}
-	for _, fd := range f.feeds {
-		if fd.answers(now) && fd.age < maxRelayAge {
-			return false
-		}
+	if f.relayAge(now) < maxCopyAge {
+		return false
 	}
 	timeout := seedTimeout
 	if f.cfg.FirstStart {
--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -23,6 +23,9 @@
 	// become stale, the relay must answer immediately, so that the node follows the
 	// store itself.
 	Fresh bool `cbor:"4,keyasint,omitempty"`
+	// Age is the age of the node's replica. A relay whose replica is much younger
+	// answers without changes, unless NoticeOnly is set.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // changesReply answers a changesRequest.
@@ -33,14 +36,28 @@
 	Through platform.Revision `cbor:"2,keyasint"`
 	// Snapshot is set if Changes is a full snapshot of the store.
 	Snapshot bool `cbor:"3,keyasint,omitempty"`
-	// Age is the time since the store last confirmed the relay's replica.
+	// Age is the time since the relay's replica was last confirmed.
 	Age time.Duration `cbor:"4,keyasint"`
 	// Leaving is set if the relay is about to shut down.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Lapsed holds, for removed targets that may report again, how long they stay
+	// usable.
+	Lapsed map[string]time.Duration `cbor:"6,keyasint,omitempty"`
+	// Held is the time for which the relay held the poll.
+	Held time.Duration `cbor:"7,keyasint,omitempty"`
+	// Unbroken is for how long the relay's replica has been confirmed without a gap.
+	Unbroken time.Duration `cbor:"8,keyasint,omitempty"`
+
+	// hasChanges is set if there are changes, sent or not.
+	hasChanges bool
+	// confirmedAt and unbrokenSince are the times of Age and Unbroken on the clock of
+	// the node that polled.
+	confirmedAt, unbrokenSince time.Time
 }
 
 // serveChanges answers the poll of another node.
 func (f *Follower) serveChanges(ctx context.Context, _ string, body []byte) (any, error) {
+	received := time.Now()
 	var req changesRequest
 	if err := control.Unmarshal(body, &req); err != nil {
 		return nil, err
@@ -50,24 +67,41 @@
 	defer timer.Stop()
 	ageCheck := time.NewTicker(ageCheckInterval)
 	defer ageCheck.Stop()
-	wasFresh := req.Fresh || f.storeAge() < maxRelayAge
-	for {
+	wasFresh := req.Fresh || f.CopyAge() < maxCopyAge
+	for expired := req.Wait <= 0; ; {
 		changed := f.cfg.Replica.Changed()
-		changes, through, snapshot := f.cfg.Replica.Changes(req.After)
-		reply := changesReply{Changes: changes, Through: through, Snapshot: snapshot, Age: f.storeAge(), Leaving: f.leaving.Load()}
-		if req.NoticeOnly {
-			reply.Changes = nil
-		}
-		if len(changes) > 0 || reply.Leaving || (wasFresh && reply.Age >= maxRelayAge) {
+		// The confirmation is read before the content that it vouches for.
+		confirmedAt, renewed := f.confirmation()
+		reply := f.changesReply(req, confirmedAt, received)
+		younger := confirmedAt.Sub(received.Add(-req.Age)) >= confirmationStep
+		if expired || reply.hasChanges || reply.Leaving || (wasFresh && reply.Age >= maxCopyAge) || (younger && !req.NoticeOnly) {
 			return reply, nil
 		}
+		if req.NoticeOnly {
+			renewed = nil
+		}
 		select {
 		case <-changed:
+		case <-renewed:
 		case <-ageCheck.C:
 		case <-timer.C:
-			return reply, nil
+			expired = true
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
+
+// changesReply returns the reply to a poll that was received at the given time.
+func (f *Follower) changesReply(req changesRequest, confirmedAt, received time.Time) changesReply {
+	d := f.cfg.Replica.Changes(req.After)
+	reply := changesReply{
+		Changes: d.Items, Through: d.Through, Snapshot: d.Snapshot, Lapsed: d.Lapsed, hasChanges: len(d.Items) > 0,
+		Unbroken: f.unbroken(), Leaving: f.leaving.Load(),
+	}
+	if req.NoticeOnly {
+		reply.Changes, reply.Lapsed = nil, nil
+	}
+	reply.Held, reply.Age = time.Since(received), time.Since(confirmedAt)
+	return reply
+}
--- a/gateway/follow/sharers.go
+++ b/gateway/follow/sharers.go
@@ -33,7 +33,7 @@
 	switch {
 	case now.Sub(f.registrationSeenAt) < propagationTime:
 		return 0
-	case f.replicaAge(now) >= propagationTime:
+	case now.Sub(f.confirmations.last) >= propagationTime:
 		return 2 * len(nodes)
 	}
 	return len(nodes)
@@ -43,23 +43,3 @@
 	_, found := slices.BinarySearchFunc(nodes, name, func(n replica.Node, name string) int { return cmp.Compare(n.Name, name) })
 	return found
 }
-
-// CopyAge returns the time since the store last confirmed this node's replica, to the
-// node itself or to a relay.
-func (f *Follower) CopyAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.replicaAge(time.Now())
-}
-
-// replicaAge returns the time since the store last confirmed this node's replica, to
-// the node itself or to a relay. It must be called with mu held.
-func (f *Follower) replicaAge(now time.Time) time.Duration {
-	age := now.Sub(f.confirmedAt)
-	for _, fd := range f.feeds {
-		if !fd.lastAnswer.IsZero() {
-			age = min(age, fd.age+now.Sub(fd.lastAnswer))
-		}
-	}
-	return age
-}
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -39,18 +39,13 @@
 	// a failure. Refused calls are charged, too.
 	retryMin = 100 * time.Millisecond
 	retryMax = 2 * time.Second
-	// targetReportTime is how long after an outage of the store the targets whose
-	// entries expired during the outage may take to report again.
-	targetReportTime = 2200 * time.Millisecond
-	// minOutage is the shortest time without the store that counts as an outage, in
-	// which entries may have expired.
-	minOutage = time.Second
 )
 
 // Sources of changes, as log lines name them.
 const (
 	sourceRead  = "store read"
 	sourceWatch = "store watch"
+	sourceRelay = "relay "
 )
 
 var errWatchStalled = errors.New("the watch did not deliver a change")
@@ -68,6 +63,10 @@
 			failures = 0
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.recordStoreFailure()
 		wait := min(retryMin<<failures, retryMax)
 		wait = wait/2 + rand.N(wait/2)
 		failures = min(failures+1, 10)
@@ -81,24 +80,13 @@
 func (f *Follower) follow(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	staleFor, known, copyAge := f.storeAge(), f.everConfirmed(), f.CopyAge()
-	at, err := f.readSnapshot(ctx, staleFor)
+	at, err := f.readSnapshot(ctx)
 	if err != nil {
 		return err
 	}
-	if known {
-		f.cfg.Log.Info("store read", "revision", at, "own_read_age_ms", staleFor.Milliseconds(),
-			"copy_age_ms", copyAge.Milliseconds())
-	} else {
-		f.cfg.Log.Info("store read for the first time", "revision", at)
-	}
 	w := &watch{follower: f, ended: make(chan error, 1)}
 	w.at.Store(int64(at))
 	go func() { w.ended <- w.run(ctx) }()
-	reread := (<-chan time.Time)(nil)
-	if staleFor > minOutage {
-		reread = time.After(targetReportTime)
-	}
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
 	review := time.NewTicker(reconcileInterval)
@@ -107,11 +95,6 @@
 		select {
 		case err := <-w.ended:
 			return err
-		case <-reread:
-			reread = nil
-			if _, err := f.readSnapshot(ctx, 0); err != nil {
-				return err
-			}
 		case <-review.C:
 			if !f.needsStore(time.Now()) {
 				return nil
@@ -124,19 +107,22 @@
 	}
 }
 
-// readSnapshot reads a full snapshot of the store into the replica. staleFor is the
-// time since the store last confirmed the replica. After an outage, targets that are
-// missing are kept, because they may report again.
-func (f *Follower) readSnapshot(ctx context.Context, staleFor time.Duration) (platform.Revision, error) {
+// readSnapshot reads a full snapshot of the store into the replica.
+func (f *Follower) readSnapshot(ctx context.Context) (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	start := time.Now()
+	age, start := f.CopyAge(), startCall()
 	content, at, err := f.cfg.Store.RangeAll(ctx, allKeys)
 	if err != nil {
 		return 0, err
 	}
-	f.cfg.Replica.Replace(sourceRead, content, at, staleFor > minOutage)
-	f.recordConfirmation(start)
+	if age >= neverConfirmed {
+		f.cfg.Log.Info("store read for the first time", "revision", at)
+	} else {
+		f.cfg.Log.Info("store read", "revision", at, "copy_age_ms", age.Milliseconds())
+	}
+	f.cfg.Replica.Replace(sourceRead, content, at, f.beginOutageGrace())
+	f.recordConfirmation(start.time())
 	return at, nil
 }
 
@@ -145,7 +131,7 @@
 func (f *Follower) checkWatch(ctx context.Context, w *watch) error {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	start := time.Now()
+	start := startCall()
 	p, err := f.cfg.Store.Range(ctx, noKeys, "")
 	if err != nil {
 		return err
@@ -156,7 +142,7 @@
 			return errWatchStalled
 		}
 	}
-	f.recordConfirmation(start)
+	f.recordConfirmation(start.time())
 	return nil
 }
 
--- a/gateway/follow/watch.go
+++ b/gateway/follow/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"filbertmill.example/platform"
 )
@@ -19,6 +18,7 @@
 // run watches until a call fails.
 func (w *watch) run(ctx context.Context) error {
 	for {
+		start := startCall()
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 		changes, next, err := w.follower.cfg.Store.WatchPrefix(callCtx, allKeys, platform.Revision(w.at.Load()), watchWait)
 		cancel()
@@ -27,7 +27,7 @@
 		}
 		w.follower.cfg.Replica.Apply(sourceWatch, changes, next)
 		w.at.Store(int64(next))
-		w.follower.recordConfirmation(time.Now())
+		w.follower.recordConfirmation(start.time())
 		sleep(ctx, batchInterval)
 	}
 }
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -86,6 +87,9 @@
 	table   *routing.Table
 	targets map[string]platform.Target
 	nodes   map[string]Node
+	// lapsed holds, for removed targets that stay usable, until when.
+	lapsed     map[string]time.Time
+	lapseTimer *time.Timer
 }
 
 // New returns an empty Replica.
@@ -96,6 +100,7 @@
 		changed: make(chan struct{}),
 		targets: make(map[string]platform.Target),
 		nodes:   make(map[string]Node),
+		lapsed:  make(map[string]time.Time),
 	}
 	r.view.Store(&View{})
 	return r
@@ -111,76 +116,102 @@
 	return r.changed
 }
 
-// Apply merges changes, which are complete up to the revision through. The source
-// names where they come from in log lines. It reports whether any of them was new.
+// Delta is what one replica passes on to another.
+type Delta struct {
+	// Items holds the changes after a revision, or the full content if Snapshot is set.
+	Items []platform.Item
+	// Through is the revision up to which Items is complete.
+	Through platform.Revision
+	// Snapshot is set if keys that are missing in Items do not exist.
+	Snapshot bool
+	// Lapsed holds, for removed targets that may report again, how long they stay
+	// usable.
+	Lapsed map[string]time.Duration
+}
+
+// Apply merges changes that the store delivered, which are complete up to the revision
+// through. The source names where they come from in log lines. Apply reports whether
+// any of them was new.
 func (r *Replica) Apply(source string, changes []platform.Item, through platform.Revision) bool {
+	return r.Merge(source, Delta{Items: changes, Through: through})
+}
+
+// Replace merges a full snapshot of the store as of the revision at. Keys that are
+// missing in it are removed. If the store was away before, grace is how long targets
+// that are missing stay usable, as they may report again. Replace reports whether
+// anything was new.
+func (r *Replica) Replace(source string, content []platform.Item, at platform.Revision, grace time.Duration) bool {
+	return r.mergeDelta(source, Delta{Items: content, Through: at, Snapshot: true}, grace)
+}
+
+// Merge merges what another replica passed on. It reports whether anything was new.
+func (r *Replica) Merge(source string, d Delta) bool { return r.mergeDelta(source, d, 0) }
+
+// mergeDelta merges a delta. If it is a snapshot, grace is how long targets that are
+// missing in it stay usable.
+func (r *Replica) mergeDelta(source string, d Delta, grace time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.source, r.implied = source, false
 	fresh := false
-	for _, item := range changes {
-		fresh = r.merge(item) || fresh
+	for _, item := range d.Items {
+		fresh = r.merge(item, d.Lapsed[item.Key]) || fresh
+	}
+	if d.Snapshot {
+		fresh = r.removeMissing(d, grace) || fresh
 	}
-	r.publish(through, fresh)
+	r.publish(d, fresh)
+	r.scheduleLapses()
 	return fresh
 }
 
-// Replace merges a full snapshot of the store as of the revision at. Keys that are
-// missing in it are removed. If keepTargets is set, missing targets are kept, because
-// they may have been unable to report for a while. Replace reports whether anything
-// was new.
-func (r *Replica) Replace(source string, content []platform.Item, at platform.Revision, keepTargets bool) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.source, r.implied = source, false
-	fresh := false
-	present := make(map[string]bool, len(content))
-	for _, item := range content {
+// removeMissing removes the keys that a snapshot lacks. It reports whether there are
+// any.
+func (r *Replica) removeMissing(d Delta, grace time.Duration) bool {
+	r.implied = true
+	present := make(map[string]bool, len(d.Items))
+	for _, item := range d.Items {
 		present[item.Key] = true
-		fresh = r.merge(item) || fresh
 	}
-	r.implied = true
+	removed := false
 	for key, item := range r.items {
-		if present[key] || item.Deleted || item.Revision > at {
-			continue
+		if !present[key] && !item.Deleted && item.Revision <= d.Through {
+			removed = r.merge(platform.Item{Key: key, Revision: d.Through, Deleted: true}, grace) || removed
 		}
-		if keepTargets && strings.HasPrefix(key, platform.TargetPrefix) {
-			r.log.Info("target kept although it is missing in the store", "key", key, "source", source, "revision", at)
-			continue
-		}
-		fresh = r.merge(platform.Item{Key: key, Revision: at, Deleted: true}) || fresh
 	}
-	r.publish(at, fresh)
-	return fresh
+	return removed
 }
 
-// Changes returns the changes after a revision, and the revision up to which they are
-// complete. If snapshot is true, changes is a full snapshot instead.
-func (r *Replica) Changes(after platform.Revision) (changes []platform.Item, through platform.Revision, snapshot bool) {
+// Changes returns the changes after a revision, or a full snapshot if the replica does
+// not know all of them.
+func (r *Replica) Changes(after platform.Revision) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if after >= r.revision {
-		return nil, r.revision, false
-	}
-	if after < r.changesFrom || after == 0 {
-		for _, item := range r.items {
-			if !item.Deleted {
-				changes = append(changes, item)
+	d := Delta{Through: r.revision}
+	switch {
+	case after >= r.revision:
+		return d
+	case after < r.changesFrom || after == 0:
+		d.Snapshot = true
+		for key, item := range r.items {
+			if _, lapsed := r.lapsed[key]; lapsed || !item.Deleted {
+				d.Items = append(d.Items, item)
 			}
 		}
-		return changes, r.revision, true
-	}
-	for _, item := range r.changes {
-		if item.Revision > after {
-			changes = append(changes, item)
+	default:
+		for _, item := range r.changes {
+			if item.Revision > after {
+				d.Items = append(d.Items, item)
+			}
 		}
 	}
-	return changes, r.revision, false
+	d.Lapsed = r.remainingLapses(d.Items)
+	return d
 }
 
-// merge stores one item if it is newer than the known one of its key. It reports
-// whether it did.
-func (r *Replica) merge(item platform.Item) bool {
+// merge stores one item if it is newer than the known one of its key. A target that it
+// removes stays usable for the grace. merge reports whether the item is newer.
+func (r *Replica) merge(item platform.Item, grace time.Duration) bool {
 	old, known := r.items[item.Key]
 	if known && item.Revision <= old.Revision {
 		return false
@@ -194,6 +225,10 @@
 		}
 		r.changes = slices.Delete(r.changes, 0, drop)
 	}
+	if _, listed := r.targets[item.Key]; listed && item.Deleted && grace > 0 {
+		r.lapse(item.Key, grace)
+		return true
+	}
 	r.decode(item)
 	return true
 }
@@ -203,13 +238,13 @@
 	switch {
 	case item.Key == platform.ConfigurationKey:
 		r.decodeConfiguration(item)
-	case strings.HasPrefix(item.Key, platform.TargetPrefix):
-		delete(r.targets, item.Key)
+	case isTarget(item.Key):
 		if item.Deleted {
-			r.log.Info("target is gone from the store", "key", item.Key, "revision", item.Revision, "source", r.source,
-				"implied", r.implied, "complete_through", r.revision)
+			r.drop(item)
 			return
 		}
+		delete(r.targets, item.Key)
+		delete(r.lapsed, item.Key)
 		t, err := platform.DecodeTarget(item.Key, item.Value)
 		if err != nil {
 			r.log.Warn("target entry is not usable", "error", err, "revision", item.Revision)
@@ -252,15 +287,16 @@
 		"source", r.source)
 }
 
-// publish makes the merged state visible as a new View. through is the revision up to
-// which it is complete, and fresh is set if any item was new.
-func (r *Replica) publish(through platform.Revision, fresh bool) {
-	advanced := through > r.revision
+// publish makes the merged state visible as a new View. fresh is set if any item of the
+// delta was new.
+func (r *Replica) publish(d Delta, fresh bool) {
+	advanced := d.Through > r.revision
 	if advanced {
-		if r.revision == 0 {
-			r.changesFrom = through
+		if d.Snapshot || r.revision == 0 {
+			// Keys that came and went since the last revision are not known.
+			r.changesFrom = max(r.changesFrom, d.Through)
 		}
-		r.revision = through
+		r.revision = d.Through
 	}
 	if !fresh && !advanced {
 		return
@@ -286,7 +322,7 @@
 	latest := make(map[string]string, len(r.targets))
 	for key, t := range r.targets {
 		other, taken := latest[t.Address]
-		if !taken || r.items[key].Revision > r.items[other].Revision {
+		if !taken || r.listedAt(key) > r.listedAt(other) {
 			latest[t.Address] = key
 		}
 	}
@@ -301,3 +337,12 @@
 	}
 	return m
 }
+
+// listedAt returns the revision at which a target was written, or 0 if its entry is
+// removed.
+func (r *Replica) listedAt(key string) platform.Revision {
+	if item := r.items[key]; !item.Deleted {
+		return item.Revision
+	}
+	return 0
+}
