gateway/follow: the next relay of a zone is looked for among several candidates at once

What callers saw: while three quarters of the hosts were dark, requests waited 250 ms for each lost home that was tried before one answered, and failed. Cause: candidates were tried one after the other, each by a request or a poll that had to time out; with dozens of lost hosts in a zone that takes seconds. Change: after a loss a node probes the next 2, 8, 32, ... candidates of the zone at once, 350 ms each. Until one answers, no unproven candidate of the zone is used as a home. A probed node need not follow the store.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -55,7 +55,9 @@
 			return err
 		}
 		if reply.Leaving {
-			f.merge(n.Name, reply)
+			if f.accepts(reply) {
+				f.merge(n.Name, reply)
+			}
 			return errLeaving
 		}
 		f.recordAnswer(n.Name, reply.Age)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -78,6 +78,10 @@
 	feeds         map[string]*feed
 	outages       map[string]*outage
 	confirmations confirmations
+	// searching holds the availability zones whose next relay is being looked for.
+	// searchCtx ends the searches; it is nil until Run is called.
+	searching map[string]bool
+	searchCtx context.Context
 	// lastPolled is when another node last polled this one.
 	lastPolled time.Time
 	// registrationSeenAt is when this node first saw its own registration in its
@@ -96,6 +100,7 @@
 func New(cfg Config) *Follower {
 	f := &Follower{
 		cfg: cfg, started: time.Now(), feeds: make(map[string]*feed), outages: make(map[string]*outage),
+		searching:     make(map[string]bool),
 		confirmations: confirmations{renewed: make(chan struct{}), suspended: suspend.Total()},
 	}
 	f.relays.Store(&[]replica.Node{})
@@ -105,6 +110,9 @@
 
 // Run follows the store, directly or through relays, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.searchCtx = ctx
+	f.mu.Unlock()
 	go f.followStore(ctx)
 	go f.keepRegistered(ctx)
 	ticker := time.NewTicker(reconcileInterval)
@@ -135,6 +143,7 @@
 	defer f.mu.Unlock()
 	if fd := f.feeds[name]; fd != nil {
 		fd.lastAnswer = time.Time{}
+		f.startSearch(fd.node.AvailabilityZone)
 	} else {
 		f.recordFailure(name, errNoAnswer)
 	}
@@ -262,6 +271,11 @@
 	}
 	o.retryAt = time.Now().Add(o.backoff)
 	f.cfg.Log.Warn("relay lost", "relay", name, "error", err, "next_ms", o.backoff.Milliseconds())
+	for _, n := range f.cfg.Replica.View().Nodes {
+		if n.Name == name {
+			f.startSearch(n.AvailabilityZone)
+		}
+	}
 }
 
 // recordAnswer records that a relay answered whose replica has the given age.
@@ -295,7 +309,9 @@
 	list := make([]replica.Node, 0, len(relays))
 	for _, n := range relays {
 		fd := f.feeds[n.Name]
-		if n.AvailabilityZone != "" && (fd == nil || fd.answers(now)) {
+		proven := fd != nil && fd.answers(now)
+		assumed := fd == nil && (!f.searching[n.AvailabilityZone] || n.Name == f.cfg.Self.Name)
+		if n.AvailabilityZone != "" && (proven || assumed) {
 			list = append(list, n)
 		}
 	}
--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -26,6 +26,8 @@
 	// Age is the age of the node's replica. A relay whose replica is much younger
 	// answers without changes, unless NoticeOnly is set.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Probe asks only for a sign of life: the node need not become a relay.
+	Probe bool `cbor:"6,keyasint,omitempty"`
 }
 
 // changesReply answers a changesRequest.
@@ -62,7 +64,9 @@
 	if err := control.Unmarshal(body, &req); err != nil {
 		return nil, err
 	}
-	f.recordPoll()
+	if !req.Probe {
+		f.recordPoll()
+	}
 	timer := time.NewTimer(min(req.Wait, otherZoneWait))
 	defer timer.Stop()
 	ageCheck := time.NewTicker(ageCheckInterval)
--- /dev/null
+++ b/gateway/follow/search.go
@@ -0,0 +1,118 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/gateway/replica"
+)
+
+const (
+	// probeTimeout limits the time in which a node answers a probe, the time to connect
+	// included.
+	probeTimeout = pollGrace
+	// firstBatch is the number of candidates that are probed first after the loss of a
+	// relay. Each further batch is batchGrowth times larger, so that a search among
+	// dozens of lost nodes ends within about a second.
+	firstBatch  = 2
+	batchGrowth = 4
+)
+
+// startSearch starts to look for the next relay of an availability zone, unless it is
+// being looked for. It must be called with mu held.
+func (f *Follower) startSearch(zone string) {
+	if f.searchCtx == nil || zone == "" || f.searching[zone] {
+		return
+	}
+	f.searching[zone] = true
+	go f.search(f.searchCtx, zone)
+}
+
+// search probes the candidates of an availability zone, in the order of their ranks and
+// in growing batches, until one answers. Candidates that do not answer have failed.
+func (f *Follower) search(ctx context.Context, zone string) {
+	start, probed, found := time.Now(), 0, ""
+	for size := firstBatch; found == "" && ctx.Err() == nil; size *= batchGrowth {
+		batch := f.unprovenCandidates(zone, size)
+		if len(batch) == 0 {
+			break
+		}
+		probed += len(batch)
+		found = f.probeAll(ctx, batch)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.searching, zone)
+	f.publishRelays(time.Now())
+	f.cfg.Log.Info("looked for a relay", "zone", zone, "found", found, "probed", probed, "took_ms", time.Since(start).Milliseconds())
+}
+
+// unprovenCandidates returns the best ranked nodes of a zone that have not failed, up to
+// the first one that has answered recently. It returns no more than limit.
+func (f *Follower) unprovenCandidates(zone string, limit int) []replica.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []replica.Node
+	now := time.Now()
+	for _, n := range RankRelays(f.cfg.Replica.View().Nodes) {
+		if n.AvailabilityZone != zone || f.outages[n.Name] != nil {
+			continue
+		}
+		fd := f.feeds[n.Name]
+		if n.Name == f.cfg.Self.Name || (fd != nil && fd.answers(now)) || len(list) == limit {
+			break
+		}
+		list = append(list, n)
+	}
+	return list
+}
+
+// probeAll probes nodes concurrently. It returns the name of the first one that
+// answers, or an empty name.
+func (f *Follower) probeAll(ctx context.Context, nodes []replica.Node) string {
+	failures := make([]error, len(nodes))
+	var wg sync.WaitGroup
+	for i, n := range nodes {
+		wg.Go(func() {
+			if failures[i] = f.probe(ctx, n); failures[i] != nil {
+				f.dropFailed(n.Name, failures[i])
+			}
+		})
+	}
+	wg.Wait()
+	if i := slices.Index(failures, nil); i >= 0 {
+		return nodes[i].Name
+	}
+	return ""
+}
+
+// probe asks a node for a sign of life.
+func (f *Follower) probe(ctx context.Context, n replica.Node) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var reply changesReply
+	err := f.cfg.Transport.Call(ctx, peerOf(n), kindChanges, changesRequest{NoticeOnly: true, Probe: true}, &reply)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "probe")
+	case reply.Leaving:
+		return errLeaving
+	}
+	f.recordAnswer(n.Name, reply.Age)
+	return nil
+}
+
+// dropFailed ends the polls of a node that failed, and starts its backoff.
+func (f *Follower) dropFailed(name string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if fd := f.feeds[name]; fd != nil {
+		fd.cancel()
+		delete(f.feeds, name)
+	}
+	f.recordFailure(name, err)
+}
--- /dev/null
+++ b/gateway/follow/search_test.go
@@ -0,0 +1,68 @@
+package follow
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/gateway/replica"
+	"filbertmill.example/platform"
+)
+
+// silentAddress returns an address that accepts connections and never answers, like a
+// host that has lost power while its connections are open.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// TestRelayIsFoundAmongManyLostNodes guards against a node that tries dozens of lost
+// candidates one after the other, and has no relay and no home meanwhile.
+func TestRelayIsFoundAmongManyLostNodes(t *testing.T) {
+	const lost = 30
+	f := newBareFollower(t, "self", "b")
+	f.cfg.Store = &slowWatchStore{delay: time.Minute}
+	var items []platform.Item
+	register := func(n replica.Node) {
+		n.AvailabilityZone = "a"
+		items = append(items, platform.Item{Key: n.Key(), Value: n.Encode(), Revision: platform.Revision(len(items) + 1)})
+	}
+	for i := range lost {
+		register(replica.Node{Name: fmt.Sprintf("lost%d", i), ControlAddress: silentAddress(t), CPUShare: 0.8})
+	}
+	alive := newBareFollower(t, "alive", "a")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = alive.cfg.Transport.Serve(l) }()
+	register(replica.Node{Name: "alive", ControlAddress: l.Addr().String(), CPUShare: 0.2})
+	f.cfg.Replica.Apply("test", items, platform.Revision(len(items)))
+	go f.Run(t.Context())
+	await(t, "a relay is polled", time.Second, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.feeds) > 0
+	})
+	f.Suspect(RankRelays(f.cfg.Replica.View().Nodes)[0].Name)
+	await(t, "the node that lives is the only relay", propagationLimit, func() bool {
+		relays := f.Relays()
+		return len(relays) == 1 && relays[0].Name == "alive"
+	})
+}
+
+// TestProbedNodeNeedNotFollowTheStore guards against calls to the store by each node
+// that is probed in a search.
+func TestProbedNodeNeedNotFollowTheStore(t *testing.T) {
+	f := newBareFollower(t, "n0", "a")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = f.cfg.Transport.Serve(l) }()
+	node := newBareFollower(t, "n1", "a")
+	qt.Assert(t, node.probe(t.Context(), replica.Node{Name: "n0", AvailabilityZone: "a", ControlAddress: l.Addr().String()}), qt.IsNil)
+	qt.Check(t, f.lastPolled.IsZero(), qt.IsTrue)
+}
