gateway: after a pause a request waits for a confirmation of the copy

Cause: nothing looked at the age of the copy where it is used. Change: where a copy is older than 2 s and no call to the store has failed since, a request waits for its confirmation, 300 ms at most, when it is routed and when it is sent. A store that is known to be away delays nothing. TestPausedNodeAwaitsAConfirmation; without the wait its third check fails.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -94,6 +94,7 @@
 		report.ID, report.Service = a.ID, a.Service
 		decision.Finish(report)
 	}()
+	n.follower.AwaitCurrent(ctx)
 	view, copyAge := n.replica.View(), n.follower.CopyAge()
 	target, ok := view.Target(r.service, decision.Target)
 	if !ok || target.Leaving {
--- a/gateway/follow/confirmation.go
+++ b/gateway/follow/confirmation.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"time"
 
 	"filbertmill.example/gateway/suspend"
@@ -19,8 +20,12 @@
 	// confirmationStep is by how much the copy of a relay must be younger than that of
 	// the node that polls it for an answer without changes.
 	confirmationStep = 500 * time.Millisecond
+	// requiredAge is the age of a copy from which on requests wait for a confirmation:
+	// changes must be in force by then. awaitConfirmation is how long they do at most.
+	requiredAge       = 2 * time.Second
+	awaitConfirmation = 300 * time.Millisecond
 	// neverConfirmed is the least age of a copy that was never confirmed.
-	neverConfirmed = time.Hour
+	neverConfirmed = 365 * 24 * time.Hour
 	// minOutage is the shortest time without the store in which entries of targets that
 	// live may have expired.
 	minOutage = time.Second
@@ -163,6 +168,39 @@
 	return targetReportTime
 }
 
+// AwaitCurrent waits until this node's copy is current, if it is not and nothing has
+// shown yet that the store is away: after a pause of the process, a request would
+// otherwise be served by the copy from before. It waits awaitConfirmation at most.
+func (f *Follower) AwaitCurrent(ctx context.Context) {
+	var timeout <-chan time.Time
+	for {
+		last, renewed := f.confirmation()
+		if age := time.Since(last); age < requiredAge || age >= neverConfirmed || f.failedSince(last) {
+			return
+		}
+		if timeout == nil {
+			timer := time.NewTimer(awaitConfirmation)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-renewed:
+		case <-timeout:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// failedSince reports whether a call of this node to the store has failed after the
+// given time.
+func (f *Follower) failedSince(t time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmations.failedAt.After(t)
+}
+
 // storeHasFailed reports whether a call of this node to the store has ever failed.
 func (f *Follower) storeHasFailed() bool {
 	f.mu.Lock()
--- a/gateway/follow/confirmation_test.go
+++ b/gateway/follow/confirmation_test.go
@@ -183,3 +183,27 @@
 }
 
 var _ Store = (*slowWatchStore)(nil)
+
+// TestPausedNodeAwaitsAConfirmation guards against a process that was paused for
+// seconds and serves requests by its configuration and targets from before.
+func TestPausedNodeAwaitsAConfirmation(t *testing.T) {
+	c := qt.New(t)
+	wait := func(f *Follower) time.Duration {
+		start := time.Now()
+		f.AwaitCurrent(t.Context())
+		return time.Since(start)
+	}
+	f := newBareFollower(t, "n0", "a")
+	c.Check(wait(f) < awaitConfirmation/2, qt.IsTrue, qt.Commentf("a node without a copy refuses"))
+	f.recordConfirmation(time.Now().Add(-requiredAge / 2))
+	c.Check(wait(f) < awaitConfirmation/2, qt.IsTrue, qt.Commentf("the copy is current"))
+	f.confirmations.suspended -= requiredAge
+	time.AfterFunc(awaitConfirmation/3, func() { f.recordConfirmation(time.Now()) })
+	took := wait(f)
+	c.Check(took >= awaitConfirmation/3 && took < awaitConfirmation, qt.IsTrue, qt.Commentf("confirmed after %s", took))
+
+	f.confirmations.suspended -= requiredAge
+	c.Check(wait(f) >= awaitConfirmation, qt.IsTrue, qt.Commentf("nothing confirms the copy"))
+	f.recordStoreFailure()
+	c.Check(wait(f) < awaitConfirmation/2, qt.IsTrue, qt.Commentf("the store is away"))
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -91,6 +91,7 @@
 // its first configuration up to startupWait, because a refusal would cost the
 // caller more time.
 func (n *Node) configuredView(ctx context.Context, in *ingress.Request) *replica.View {
+	n.follower.AwaitCurrent(ctx)
 	view := n.replica.View()
 	if view.Config != nil {
 		return view
