gateway/follow: a relay that answers a probe is used while worse candidates are still probed

Change: the search ends with the best ranked candidate that answers, once those before it have failed.

--- a/gateway/follow/search.go
+++ b/gateway/follow/search.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,21 +69,24 @@
 	return list
 }
 
-// probeAll probes nodes concurrently. It returns the name of the first one that
-// answers, or an empty name.
+// probeAll probes nodes concurrently. It returns the name of the best ranked one that
+// answers, as soon as those before it have failed, or an empty name.
 func (f *Follower) probeAll(ctx context.Context, nodes []replica.Node) string {
-	failures := make([]error, len(nodes))
-	var wg sync.WaitGroup
+	results := make([]chan error, len(nodes))
 	for i, n := range nodes {
-		wg.Go(func() {
-			if failures[i] = f.probe(ctx, n); failures[i] != nil {
-				f.dropFailed(n.Name, failures[i])
+		results[i] = make(chan error, 1)
+		go func() {
+			err := f.probe(ctx, n)
+			if err != nil {
+				f.dropFailed(n.Name, err)
 			}
-		})
+			results[i] <- err
+		}()
 	}
-	wg.Wait()
-	if i := slices.Index(failures, nil); i >= 0 {
-		return nodes[i].Name
+	for i, n := range nodes {
+		if <-results[i] == nil {
+			return n.Name
+		}
 	}
 	return ""
 }
