gateway/follow: a candidate that answers a probe late is not taken for lost

What callers saw: nodes that disagree on the home of a service; requests spread worse. Cause: candidates that many nodes connect to at once took over 350 ms, counted as failed and waited behind dozens of lost ones to be tried again. Change: after 350 ms the search goes on, but the probe lasts 1 s; an answer until then clears the failure. TestSlowCandidateIsUsedInTheEnd fails without it after 1 s.

--- a/gateway/follow/search.go
+++ b/gateway/follow/search.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// probeTimeout limits the time in which a node answers a probe, the time to connect
-	// included.
-	probeTimeout = pollGrace
+	// probePatience is how long a search waits for the answers to its probes, the time to
+	// connect included, before it goes on to further candidates. A node that answers
+	// within probeTimeout has not failed all the same: its host may be short of processor
+	// time, while many nodes connect to it.
+	probePatience = pollGrace
+	probeTimeout  = time.Second
 	// firstBatch is the number of candidates that are probed first after the loss of a
 	// relay. Each further batch is batchGrowth times larger, so that a search among
 	// dozens of lost nodes ends within about a second.
@@ -20,6 +23,8 @@
 	batchGrowth = 4
 )
 
+var errProbeLate = errors.New("the answer to a probe is late")
+
 // startSearch starts to look for the next relay of an availability zone, unless it is
 // being looked for. It must be called with mu held.
 func (f *Follower) startSearch(zone string) {
@@ -70,39 +75,54 @@
 }
 
 // probeAll probes nodes concurrently. It returns the name of the best ranked one that
-// answers, as soon as those before it have failed, or an empty name.
+// answers, as soon as those before it have failed, or an empty name. Nodes that have not
+// answered after probePatience count as failed until they do.
 func (f *Follower) probeAll(ctx context.Context, nodes []replica.Node) string {
 	results := make([]chan error, len(nodes))
 	for i, n := range nodes {
 		results[i] = make(chan error, 1)
-		go func() {
-			err := f.probe(ctx, n)
-			if err != nil {
-				f.dropFailed(n.Name, err)
-			}
-			results[i] <- err
-		}()
+		go func() { results[i] <- f.probe(ctx, n) }()
 	}
+	patience := time.NewTimer(probePatience)
+	defer patience.Stop()
+	late := false
 	for i, n := range nodes {
-		if <-results[i] == nil {
-			return n.Name
+		if !late {
+			select {
+			case err := <-results[i]:
+				results[i] <- err
+			case <-patience.C:
+				late = true
+			}
+		}
+		select {
+		case err := <-results[i]:
+			if err == nil {
+				return n.Name
+			}
+		default:
+			f.dropFailed(n.Name, errProbeLate)
 		}
 	}
 	return ""
 }
 
-// probe asks a node for a sign of life.
+// probe asks a node for a sign of life. It records the result.
 func (f *Follower) probe(ctx context.Context, n replica.Node) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var reply changesReply
 	err := f.cfg.Transport.Call(ctx, peerOf(n), kindChanges, changesRequest{NoticeOnly: true, Probe: true}, &reply)
-	switch {
-	case err != nil:
-		return errors.Wrap(err, "probe")
-	case reply.Leaving:
-		return errLeaving
+	if err == nil && reply.Leaving {
+		err = errLeaving
+	}
+	if err != nil {
+		f.dropFailed(n.Name, errors.Wrap(err, "probe"))
+		return err
 	}
+	f.mu.Lock()
+	delete(f.outages, n.Name)
+	f.mu.Unlock()
 	f.recordAnswer(n.Name, reply.Age)
 	return nil
 }
--- a/gateway/follow/search_test.go
+++ b/gateway/follow/search_test.go
@@ -66,3 +66,37 @@
 	qt.Assert(t, node.probe(t.Context(), replica.Node{Name: "n0", AvailabilityZone: "a", ControlAddress: l.Addr().String()}), qt.IsNil)
 	qt.Check(t, f.lastPolled.IsZero(), qt.IsTrue)
 }
+
+// TestSlowCandidateIsUsedInTheEnd guards against nodes that disagree on the relays for
+// seconds, because one took a candidate that was slow to connect for lost.
+func TestSlowCandidateIsUsedInTheEnd(t *testing.T) {
+	f := newBareFollower(t, "self", "b")
+	f.cfg.Store = &slowWatchStore{delay: time.Minute}
+	var items []platform.Item
+	for i, delay := range []time.Duration{2 * probePatience, 0} {
+		node := newBareFollower(t, fmt.Sprintf("rank%d", i), "a")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		go func() { _ = node.cfg.Transport.Serve(slowListener{l, delay}) }()
+		n := replica.Node{Name: fmt.Sprintf("rank%d", i), AvailabilityZone: "a", ControlAddress: l.Addr().String(), CPUShare: float64(2 - i)}
+		items = append(items, platform.Item{Key: n.Key(), Value: n.Encode(), Revision: platform.Revision(i + 1)})
+	}
+	f.cfg.Replica.Apply("test", items, 2)
+	f.mu.Lock()
+	f.searchCtx = t.Context()
+	f.mu.Unlock()
+	f.Suspect("rank0")
+	f.mu.Lock()
+	delete(f.outages, "rank0")
+	f.mu.Unlock()
+	inUse := func(name string) func() bool {
+		return func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			relays, _ := f.candidates(time.Now())
+			return len(relays) == 1 && relays[0].Name == name
+		}
+	}
+	await(t, "the candidate that answers is used", 2*probePatience, inUse("rank1"))
+	await(t, "the better one that was slow is used", probeTimeout, inUse("rank0"))
+}
