--- a/gateway/replica/lapse.go
+++ b/gateway/replica/lapse.go
@@ -24,7 +24,7 @@
 		return
 	}
 	r.lapsed[key] = until
-	r.log.Info("target expired while the store was away; it stays usable for a while", "key", key,
+	r.log.Info("target expired while the store was away; it stays usable for a while", "target", targetID(key),
 		"usable_ms", grace.Milliseconds(), "source", r.source)
 }
 
@@ -97,10 +97,13 @@
 	delete(r.targets, item.Key)
 	delete(r.lapsed, item.Key)
 	if listed {
-		r.log.Info("target is gone from the store", "key", item.Key, "revision", item.Revision, "source", r.source,
+		r.log.Info("target is gone from the store", "target", targetID(item.Key), "revision", item.Revision, "source", r.source,
 			"implied", r.implied, "complete_through", r.revision)
 	}
 }
 
 // isTarget reports whether a key is that of a target's entry.
 func isTarget(key string) bool { return strings.HasPrefix(key, platform.TargetPrefix) }
+
+// targetID returns the id of the target whose entry has the given key.
+func targetID(key string) string { return strings.TrimPrefix(key, platform.TargetPrefix) }
