gateway/follow: a node that turns from relays to the store goes on from its revision

Cause: the replica's revision could not be relied on; now it can. Change: such a node watches from its revision on and asks the store for its own.

--- a/event/saved/chain.go
+++ b/event/saved/chain.go
@@ -23,7 +23,7 @@
 var nodeMessages = []string{
 	"started", "stopping", "draining, since a listener ended", "ending the work that is left", "stopped", "settings file changed",
 	"configuration in force", "configuration refused; the one in force stays",
-	"relay lost", "relay answers", "relays in use", "looked for a relay", "the store does not answer", "store read", "store read for the first time", "log lines dropped",
+	"relay lost", "relay answers", "relays in use", "looked for a relay", "the store does not answer", "store read", "store read for the first time", "store followed from the relays' revision", "log lines dropped",
 }
 
 // Query selects lines. An empty field selects all.
--- a/gateway/follow/confirmation.go
+++ b/gateway/follow/confirmation.go
@@ -9,8 +9,8 @@
 
 const (
 	// maxCopyAge is the age of this node's copy from which on it follows the store
-	// itself. Changes must be in force within two seconds, which leaves 0.6 s to read
-	// the store.
+	// itself. Changes must be in force within two seconds, which leaves 0.6 s for the
+	// calls.
 	maxCopyAge = 1400 * time.Millisecond
 	// refreshAge is the age from which on a node asks its relays for a confirmation
 	// instead of waiting for the answers to its polls.
@@ -201,6 +201,16 @@
 	return f.confirmations.failedAt.After(t)
 }
 
+// mayResume reports whether this node may follow the store from its replica's revision
+// on: the replica was confirmed, and nothing indicates an outage since, in which entries
+// of targets that live may have expired.
+func (f *Follower) mayResume() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &f.confirmations
+	return !c.last.IsZero() && !c.failedAt.After(c.last)
+}
+
 // storeHasFailed reports whether a call of this node to the store has ever failed.
 func (f *Follower) storeHasFailed() bool {
 	f.mu.Lock()
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -52,13 +52,14 @@
 
 // followStore follows the store whenever this node needs to, until the context ends.
 func (f *Follower) followStore(ctx context.Context) {
-	failures := 0
+	failures, resume := 0, true
 	for ctx.Err() == nil {
 		if !f.needsStore(time.Now()) {
 			sleep(ctx, reconcileInterval/2)
 			continue
 		}
-		err := f.follow(ctx)
+		err := f.follow(ctx, resume && f.mayResume())
+		resume = err == nil
 		if err == nil || errors.IsAny(err, platform.ErrCompacted, errWatchStalled) {
 			failures = 0
 			continue
@@ -75,18 +76,28 @@
 	}
 }
 
-// follow reads a full snapshot and then its changes, until a call fails or this node
-// no longer needs to follow the store.
-func (f *Follower) follow(ctx context.Context) error {
+// follow applies the changes of the store after the revision up to which the replica is
+// complete, until a call fails or this node no longer needs to follow the store. It
+// first reads a full snapshot, unless resume is set.
+func (f *Follower) follow(ctx context.Context, resume bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	at, err := f.readSnapshot(ctx)
-	if err != nil {
-		return err
+	at := f.cfg.Replica.View().Revision
+	if !resume {
+		var err error
+		if at, err = f.readSnapshot(ctx); err != nil {
+			return err
+		}
 	}
 	w := &watch{follower: f, ended: make(chan error, 1)}
 	w.at.Store(int64(at))
 	go func() { w.ended <- w.run(ctx) }()
+	if resume {
+		f.cfg.Log.Info("store followed from the relays' revision", "revision", at, "copy_age_ms", f.CopyAge().Milliseconds())
+		if err := f.checkWatch(ctx, w); err != nil {
+			return err
+		}
+	}
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
 	review := time.NewTicker(reconcileInterval)
