gateway/follow: a node that turns to the store asks for its revision before it watches

What callers saw: nothing; a store that refuses all calls got one more from each node. Cause: since such a node watched and asked at the same time, and both failed. Change: it asks first, and watches if the store answers.

--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -83,18 +83,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	at := f.cfg.Replica.View().Revision
-	if !resume {
-		var err error
-		if at, err = f.readSnapshot(ctx); err != nil {
-			return err
-		}
+	var asked revisionAnswer
+	var err error
+	if resume {
+		asked, err = f.askRevision(ctx)
+	} else {
+		at, err = f.readSnapshot(ctx)
+	}
+	if err != nil {
+		return err
 	}
 	w := &watch{follower: f, ended: make(chan error, 1)}
 	w.at.Store(int64(at))
 	go func() { w.ended <- w.run(ctx) }()
 	if resume {
 		f.cfg.Log.Info("store followed from the relays' revision", "revision", at, "copy_age_ms", f.CopyAge().Milliseconds())
-		if err := f.checkWatch(ctx, w); err != nil {
+		if err := f.awaitWatch(ctx, w, asked); err != nil {
 			return err
 		}
 	}
@@ -137,23 +141,41 @@
 	return at, nil
 }
 
-// checkWatch compares the store's revision with the one that the watch has delivered.
-// It returns errWatchStalled if the watch does not deliver a change in time.
-func (f *Follower) checkWatch(ctx context.Context, w *watch) error {
+// revisionAnswer is the store's revision at the time of a call.
+type revisionAnswer struct {
+	revision platform.Revision
+	call     callStart
+}
+
+// askRevision asks the store for its revision.
+func (f *Follower) askRevision(ctx context.Context) (revisionAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	start := startCall()
 	p, err := f.cfg.Store.Range(ctx, noKeys, "")
+	return revisionAnswer{p.Revision, start}, err
+}
+
+// checkWatch compares the store's revision with the one that the watch has delivered.
+// It returns errWatchStalled if the watch does not deliver a change in time.
+func (f *Follower) checkWatch(ctx context.Context, w *watch) error {
+	asked, err := f.askRevision(ctx)
 	if err != nil {
 		return err
 	}
-	if int64(p.Revision) > w.at.Load() {
+	return f.awaitWatch(ctx, w, asked)
+}
+
+// awaitWatch waits until the watch has delivered the changes up to a revision of the
+// store, which confirms the replica.
+func (f *Follower) awaitWatch(ctx context.Context, w *watch, asked revisionAnswer) error {
+	if int64(asked.revision) > w.at.Load() {
 		sleep(ctx, watchDeliveryTime)
-		if int64(p.Revision) > w.at.Load() {
+		if int64(asked.revision) > w.at.Load() {
 			return errWatchStalled
 		}
 	}
-	f.recordConfirmation(start.time())
+	f.recordConfirmation(asked.call.time())
 	return nil
 }
 
