review: a booking with an encoded slash runs twice

Shows that nodes choose the route by the decoded path, so that a booking whose path has %2F in a segment is handled by a safe route and sent again when its answer is lost (TWICE).

--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -82,13 +83,23 @@
 	return machines, nil
 }
 
+// Ports of machines are below those that the system gives to outgoing connections, which
+// could otherwise take the port of a process that is started again.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 // freeAddresses returns loopback addresses whose ports are free.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for try := 0; len(list) < n; try++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			return nil, err
+			if try > lastPort-firstPort {
+				return nil, err
+			}
+			continue
 		}
 		defer l.Close()
 		list = append(list, l.Addr().String())
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -14,6 +14,8 @@
 type Platform struct {
 	Store   *platform.Client
 	Address string
+	// ConfigBytes is the size of the last configuration.
+	ConfigBytes int
 
 	standin *standin.Standin
 	version int
@@ -71,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	p.ConfigBytes = len(text)
 	_, err = p.Store.Txn(ctx, nil, []platform.Put{{Key: platform.ConfigurationKey, Value: text}})
 	return err
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,7 +39,9 @@
 	slots   chan struct{}
 	queue   chan struct{}
 	work    atomic.Int64
-	stop    context.CancelFunc
+	// loseShare is the share of requests, in percent, that run and whose answer is lost.
+	loseShare atomic.Int64
+	stop      context.CancelFunc
 }
 
 // StartServer starts a server that registers itself in the store.
@@ -62,6 +65,10 @@
 // SetWork sets how long a request takes.
 func (s *Server) SetWork(d time.Duration) { s.work.Store(int64(d)) }
 
+// LoseAnswers makes the server run a share of its requests, in percent, and reset their
+// connections in place of an answer.
+func (s *Server) LoseAnswers(percent int) { s.loseShare.Store(int64(percent)) }
+
 // Close stops the server.
 func (s *Server) Close() {
 	s.stop()
@@ -141,6 +148,11 @@
 		s.record.Line("%s: %s ends: its connection was closed", s.ID, id)
 		return
 	}
+	if rand.Int64N(100) < s.loseShare.Load() {
+		s.record.Line("%s: %s ran, and its answer is lost", s.ID, id)
+		reset(w)
+		return
+	}
 	text := fmt.Sprintf("answer to %s, %s\n", id, Sum(sum.Sum32(), n))
 	w.Header().Set(HeaderStamp, s.ID+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -148,6 +160,18 @@
 	s.record.Line("%s: %s answered, error %v", s.ID, id, err)
 }
 
+// reset closes the connection of a request with a TCP reset.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // enter waits for a slot. It returns false if the request is turned away: the queue is
 // full, or its connection closes.
 func (s *Server) enter(r *http.Request) bool {
