review: a booking is run by the service of a route that its path does not match

Shows that after a change that adds a route, bookings whose path has %2F in a segment are run by that route's service, though its prefix does not begin their path (ROUTE).

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -109,7 +109,7 @@
 	c.served++
 	if resp.StatusCode == http.StatusOK {
 		sum := crc32.ChecksumIEEE(body)
-		if want := fmt.Sprintf("answer to %s, %s\n", res.ID, Sum(sum, int64(len(body)))); string(answer) != want {
+		if string(answer) != Answer(res.ID, sum, int64(len(body)), 0) {
 			res.Wrong = "wrong answer " + strconv.Quote(string(answer))
 		}
 	}
@@ -140,25 +140,69 @@
 	return nil
 }
 
-// Runs collects which requests servers have begun to run.
+// Runs collects what servers have run.
 type Runs struct {
 	mu   sync.Mutex
-	runs map[string]int
+	runs map[string]*run
 }
 
-// Add counts one run of a request.
-func (r *Runs) Add(id string) {
+// run is what became of one request at servers.
+type run struct {
+	count   int
+	service string
+	ended   time.Time
+}
+
+// Begin counts one run of a request, by a server of a service.
+func (r *Runs) Begin(id, service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.runs == nil {
-		r.runs = make(map[string]int)
+		r.runs = make(map[string]*run)
+	}
+	if r.runs[id] == nil {
+		r.runs[id] = &run{}
+	}
+	r.runs[id].count++
+	r.runs[id].service = service
+}
+
+// ByService returns the requests that servers of a service have run.
+func (r *Runs) ByService(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, run := range r.runs {
+		if run.service == service {
+			ids = append(ids, id)
+		}
 	}
-	r.runs[id]++
+	return ids
+}
+
+// End records that a server has ended a run of a request and begins to answer.
+func (r *Runs) End(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id].ended = time.Now()
 }
 
 // Of returns how often a request has run.
 func (r *Runs) Of(id string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.runs[id]
+	if r.runs[id] == nil {
+		return 0
+	}
+	return r.runs[id].count
+}
+
+// Ended returns when the latest run of a request ended, or the zero time.
+func (r *Runs) Ended(id string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[id] == nil {
+		return time.Time{}
+	}
+	return r.runs[id].ended
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,8 @@
 
 	// Runs counts the runs of all requests.
 	Runs *Runs
+	// AnswerBytes is the least size of the body of an answer.
+	AnswerBytes int
 
 	record  *Record
 	store   *platform.Client
@@ -115,6 +118,13 @@
 // Sum identifies a body of a request or an answer.
 func Sum(sum uint32, n int64) string { return fmt.Sprintf("%d bytes, crc %08x", n, sum) }
 
+// Answer is the body of the answer to a request with a body of n bytes. It has at least
+// size bytes.
+func Answer(id string, sum uint32, n int64, size int) string {
+	text := fmt.Sprintf("answer to %s, %s\n", id, Sum(sum, n))
+	return strings.Repeat(text, max(1, (size+len(text)-1)/len(text)))
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
@@ -140,7 +150,7 @@
 		return
 	}
 	defer func() { <-s.slots; <-s.queue }()
-	s.Runs.Add(id)
+	s.Runs.Begin(id, s.Service)
 	s.record.Line("%s: %s runs: %s %s, %s", s.ID, id, r.Method, r.URL.RequestURI(), Sum(sum.Sum32(), n))
 	select {
 	case <-time.After(time.Duration(s.work.Load())):
@@ -148,12 +158,13 @@
 		s.record.Line("%s: %s ends: its connection was closed", s.ID, id)
 		return
 	}
+	s.Runs.End(id)
 	if rand.Int64N(100) < s.loseShare.Load() {
 		s.record.Line("%s: %s ran, and its answer is lost", s.ID, id)
 		reset(w)
 		return
 	}
-	text := fmt.Sprintf("answer to %s, %s\n", id, Sum(sum.Sum32(), n))
+	text := Answer(id, sum.Sum32(), n, s.AnswerBytes)
 	w.Header().Set(HeaderStamp, s.ID+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, err = io.WriteString(w, text)
