--- a/review/harness/run.go
+++ b/review/harness/run.go
@@ -10,6 +10,10 @@
 // LeadTime is the time between the start of the machines and of the traffic.
 const LeadTime = 8 * time.Second
 
+// minServed is the share of requests that must be served for a rule to count as kept: what
+// is not served breaks few rules.
+const minServed = 0.5
+
 // Case is one run of a case.
 type Case struct {
 	Tally
@@ -45,10 +49,14 @@
 		return ExitFailed
 	}
 	time.Sleep(LeadTime)
-	if play(c) {
-		return ExitHeld
+	if !play(c) {
+		return ExitBroken
+	}
+	if share := c.ServedShare(); share < minServed {
+		record.Say("the case could not run: only %.2f of the requests were served", share)
+		return ExitFailed
 	}
-	return ExitBroken
+	return ExitHeld
 }
 
 // StartMachines starts machines and waits until they are ready.
--- a/review/harness/traffic.go
+++ b/review/harness/traffic.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// Add adds requests that were counted elsewhere.
+func (t *Tally) Add(sent, served int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent += sent
+	t.served += served
+}
+
+// ServedShare returns the share of the requests that were served.
+func (t *Tally) ServedShare() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(t.served) / float64(max(t.sent, 1))
+}
+
 // Twice returns the bookings that ran more than once.
 func (t *Tally) Twice() []string {
 	t.mu.Lock()
