--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,10 +1,11 @@
-// Command 6 stops the only node of a zone as planned, while the store drops its history
+// Command 6 restarts the only node of a zone as planned, while the store drops its history
 // of changes, and watches which configuration and which servers the other nodes use from
 // then on.
 package main
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -15,19 +16,27 @@
 
 const (
 	host     = "jepu9.example"
+	service  = "statusdesk"
 	deadline = 1200 * time.Millisecond
 	work     = 50 * time.Millisecond
 	// nodes is the number of nodes of the first zone; the other zone has one.
 	nodes = 4
-	// calmTime is how long the deployment runs before the disruption.
-	calmTime = 3 * time.Second
+	// restarts is how often the node of the other zone is stopped at most. The script ends
+	// with the first restart after which the rule is broken.
+	restarts = 5
+	// calmTime is how long the deployment runs before the first restart, and calmJitter by
+	// how much more at most before each one.
+	calmTime   = 3 * time.Second
+	calmJitter = time.Second
 	// historyDelay is the time until the loss of the history from when the node that was
 	// stopped no longer says that it is ready.
 	historyDelay = 10 * time.Millisecond
 	// judgedAfter is the time from the acknowledgement of the configuration from which
 	// on requests count: config-apply-s is 2, and machines are in touch contact-s, 3 s,
-	// after the end of the disruption.
+	// after the end of the disruption. They are sent for probeTime, and for judgedTime if
+	// the rule is broken.
 	judgedAfter = 4 * time.Second
+	probeTime   = 2 * time.Second
 	judgedTime  = 20 * time.Second
 	interval    = 250 * time.Millisecond
 )
@@ -37,60 +46,88 @@
 func run(d *rig.Deployment) (bool, error) {
 	var specs []rig.ServerSpec
 	for i := range 6 {
-		specs = append(specs, rig.ServerSpec{ID: fmt.Sprintf("i-%d", i), Service: "statusdesk", Slots: 6, Work: work})
+		specs = append(specs, rig.ServerSpec{ID: fmt.Sprintf("i-%d", i), Service: service, Slots: 6, Work: work})
 	}
 	if err := d.StartServers(specs...); err != nil {
 		return false, err
 	}
-	first := rig.Route{Name: "r-first", Host: host, Prefix: "/status/", Service: "statusdesk", Safe: true, Timeout: 1.2, SLO: 0.6, Attempts: 2}
-	added := first
-	added.Name, added.Prefix = "r-added", "/added/"
-	if err := d.Platform.Configure("00000001", []rig.Route{first}, []string{"statusdesk"}); err != nil {
+	if err := configure(d, 0); err != nil {
 		return false, err
 	}
-	zones := []string{rig.Zones[0], rig.Zones[0], rig.Zones[0], rig.Zones[0], rig.Zones[1]}
-	if err := d.StartNodes(zones...); err != nil {
+	if err := d.StartNodes(rig.Zones[0], rig.Zones[0], rig.Zones[0], rig.Zones[0], rig.Zones[1]); err != nil {
 		return false, err
 	}
 	time.Sleep(calmTime)
-	if before := ask(d, "before", "/status/", 2*time.Second); before.unserved() > 0 {
+	if before := ask(d, "before", "/status/", probeTime); before.unserved() > 0 {
 		return false, fmt.Errorf("%d requests were not served before the disruption", before.unserved())
 	}
-	if err := d.Nodes[nodes].Signal(syscall.SIGTERM); err != nil {
-		return false, err
+	for version := 1; version <= restarts; version++ {
+		time.Sleep(rand.N(calmJitter))
+		if err := restart(d, version); err != nil {
+			return false, err
+		}
+		if probe := ask(d, fmt.Sprint("probe", version), addedPrefix(version), probeTime); probe.missing() > 0 {
+			judge(d, version)
+			return true, nil
+		}
+		if err := d.Nodes[nodes].AwaitReady(true); err != nil {
+			return false, err
+		}
 	}
-	if err := d.Nodes[nodes].AwaitReady(false); err != nil {
-		return false, err
+	judge(d, restarts)
+	return false, nil
+}
+
+// addedPrefix returns the prefix of the route that a version adds.
+func addedPrefix(version int) string { return fmt.Sprintf("/added%d/", version) }
+
+// configure writes a version, which has one more route than the one before.
+func configure(d *rig.Deployment, version int) error {
+	route := rig.Route{Name: "r-first", Host: host, Prefix: "/status/", Service: service, Safe: true, Timeout: 1.2, SLO: 0.6, Attempts: 2}
+	routes := []rig.Route{route}
+	for v := 1; v <= version; v++ {
+		route.Name, route.Prefix = fmt.Sprint("r-added", v), addedPrefix(v)
+		routes = append(routes, route)
 	}
-	time.Sleep(historyDelay)
-	change := func() error {
-		return d.Platform.Configure("00000002", []rig.Route{first, added}, []string{"statusdesk"})
+	return d.Platform.Configure(fmt.Sprintf("%08x", version+1), routes, []string{service})
+}
+
+// restart stops the node of the second zone and has the operator write a version, while the
+// store drops its history unless the case runs without the disruption. It returns when
+// requests count.
+func restart(d *rig.Deployment, version int) error {
+	stopped := d.Nodes[nodes]
+	if err := stopped.Signal(syscall.SIGTERM); err != nil {
+		return err
 	}
+	if err := stopped.AwaitReady(false); err != nil {
+		return err
+	}
+	time.Sleep(historyDelay)
+	write := func() error { return configure(d, version) }
 	err := error(nil)
 	if d.Trouble {
-		err = d.Platform.LoseHistory(change)
+		err = d.Platform.LoseHistory(write)
 	} else {
-		err = change()
-	}
-	if err != nil {
-		return false, err
+		err = write()
 	}
 	acknowledged := time.Now()
-	d.Record.Notef("version 00000002 with the route /added/ is acknowledged")
+	d.Record.Notef("the version with the route %s is acknowledged", addedPrefix(version))
 	time.Sleep(time.Until(acknowledged.Add(judgedAfter)))
-	var old, late answers
+	return err
+}
+
+// judge shows how the nodes of the first zone answer for judgedTime.
+func judge(d *rig.Deployment, version int) {
+	var old, added answers
 	var both sync.WaitGroup
 	both.Go(func() { old = ask(d, "old", "/status/", judgedTime) })
-	both.Go(func() { late = ask(d, "new", "/added/", judgedTime) })
+	both.Go(func() { added = ask(d, "new", addedPrefix(version), judgedTime) })
 	both.Wait()
-	broken := false
 	for i, n := range d.Nodes[:nodes] {
-		missing := late.counts[i][http.StatusNotFound]
-		d.Record.Sayf("%s, from %s after the acknowledgement on: %d requests on the added route, %d of them answered 404; first route: %d requests, %d of them answered 200",
-			n.Name, judgedAfter, late.sum(i), missing, old.sum(i), old.counts[i][http.StatusOK])
-		broken = broken || missing > 0
+		d.Record.Sayf("%s, later than %s after the acknowledgement of version %d: %d requests on the route that it adds, %d of them answered 404; first route: %d requests, %d of them answered 200",
+			n.Name, judgedAfter, version, added.sum(i), added.counts[i][http.StatusNotFound], old.sum(i), old.counts[i][http.StatusOK])
 	}
-	return broken, nil
 }
 
 // answers counts the answers of each node by status.
@@ -104,6 +141,15 @@
 	return sum
 }
 
+// missing returns the number of requests that were answered 404.
+func (a *answers) missing() int {
+	n := 0
+	for i := range a.counts {
+		n += a.counts[i][http.StatusNotFound]
+	}
+	return n
+}
+
 // unserved returns the number of requests without a success.
 func (a *answers) unserved() int {
 	n := 0
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/6 ./review/7 ./review/8 ./review/9
+go build -o target/review-2/ ./review/6
