--- a/review/6/main.go
+++ b/review/6/main.go
@@ -74,7 +74,9 @@
 			return false, err
 		}
 	}
-	judge(d, restarts)
+	if unserved := judge(d, restarts); !d.Trouble && unserved > 0 {
+		return false, fmt.Errorf("%d requests were not served, though there was no disruption", unserved)
+	}
 	return false, nil
 }
 
@@ -117,8 +119,9 @@
 	return err
 }
 
-// judge shows how the nodes of the first zone answer for judgedTime.
-func judge(d *rig.Deployment, version int) {
+// judge shows how the nodes of the first zone answer for judgedTime. It returns the number
+// of requests without a success.
+func judge(d *rig.Deployment, version int) int {
 	var old, added answers
 	var both sync.WaitGroup
 	both.Go(func() { old = ask(d, "old", "/status/", judgedTime) })
@@ -128,6 +131,7 @@
 		d.Record.Sayf("%s, later than %s after the acknowledgement of version %d: %d requests on the route that it adds, %d of them answered 404; first route: %d requests, %d of them answered 200",
 			n.Name, judgedAfter, version, added.sum(i), added.counts[i][http.StatusNotFound], old.sum(i), old.counts[i][http.StatusOK])
 	}
+	return old.unserved() + added.unserved()
 }
 
 // answers counts the answers of each node by status.
