--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -55,6 +55,8 @@
 			return err
 		}
 		if reply.Leaving {
+			f.cfg.Log.Info("relay is shutting down", "relay", n.Name, "notice_only", notice, "snapshot", reply.Snapshot,
+				"items", len(reply.Changes), "revision", reply.Through, "store_age_ms", reply.Age.Milliseconds())
 			if f.accepts(reply) {
 				f.merge(n.Name, reply)
 			}
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -158,25 +158,27 @@
 		fresh = r.merge(item, d.Lapsed[item.Key]) || fresh
 	}
 	if d.Snapshot {
-		fresh = r.removeMissing(d, grace) || fresh
+		removed := r.removeMissing(d, grace)
+		fresh = fresh || removed > 0
+		r.log.Info("snapshot merged", "source", source, "revision", d.Through, "before", r.revision, "items", len(d.Items), "removed", removed)
 	}
 	r.publish(d, fresh)
 	r.scheduleLapses()
 	return fresh
 }
 
-// removeMissing removes the keys that a snapshot lacks. It reports whether there are
-// any.
-func (r *Replica) removeMissing(d Delta, grace time.Duration) bool {
+// removeMissing removes the keys that a snapshot lacks. It returns their number.
+func (r *Replica) removeMissing(d Delta, grace time.Duration) int {
 	r.implied = true
 	present := make(map[string]bool, len(d.Items))
 	for _, item := range d.Items {
 		present[item.Key] = true
 	}
-	removed := false
+	removed := 0
 	for key, item := range r.items {
 		if !present[key] && !item.Deleted && item.Revision <= d.Through {
-			removed = r.merge(platform.Item{Key: key, Revision: d.Through, Deleted: true}, grace) || removed
+			r.merge(platform.Item{Key: key, Revision: d.Through, Deleted: true}, grace)
+			removed++
 		}
 	}
 	return removed
