follow: a notice of a relay that shuts down is no content

Cause: a node polls relays of other zones for a notice only, as the changes come from a relay of its own zone.

Change: an answer to a poll has content, which may be empty, or none. Only content can be merged; a notice no longer has any of its fields, and says on the wire that it is one. The node also knows what it asked for, so that notices of relays of earlier versions hold no content either. The other two places that merge answers take the same way.

--- a/gateway/follow/confirmation_test.go
+++ b/gateway/follow/confirmation_test.go
@@ -149,7 +149,7 @@
 	f.recordConfirmation(time.Now().Add(-time.Minute))
 	c.Check(f.beginOutageGrace(), qt.Equals, time.Duration(0), qt.Commentf("the node lived on relays"))
 	f.recordStoreFailure()
-	f.confirmByRelay("n1", changesReply{confirmedAt: time.Now().Add(-minOutage / 2)})
+	f.confirmByRelay("n1", answer{confirmedAt: time.Now().Add(-minOutage / 2)})
 	c.Check(f.beginOutageGrace(), qt.Equals, time.Duration(0), qt.Commentf("a relay was served meanwhile"))
 
 	f = newBareFollower(t, "n0", "a")
@@ -161,9 +161,9 @@
 		`{"address":"10.0.0.1:1","born":1,"info":{"service":"s","slots":2},"status":{"state":"ready"}}`)}
 	f.cfg.Replica.Replace("test", []platform.Item{entry}, 1, 0)
 	f.cfg.Replica.Replace("test", nil, 2, targetReportTime)
-	f.confirmByRelay("n1", changesReply{confirmedAt: time.Now(), unbrokenSince: before.Add(time.Millisecond)})
+	f.confirmByRelay("n1", answer{confirmedAt: time.Now(), unbrokenSince: before.Add(time.Millisecond)})
 	c.Check(f.cfg.Replica.View().Targets["s"], qt.HasLen, 1, qt.Commentf("the relay was without the store, too"))
-	f.confirmByRelay("n1", changesReply{confirmedAt: time.Now(), unbrokenSince: before})
+	f.confirmByRelay("n1", answer{confirmedAt: time.Now(), unbrokenSince: before})
 	c.Check(f.cfg.Replica.View().Targets["s"], qt.HasLen, 0, qt.Commentf("the store served the relay all the time"))
 }
 
@@ -235,7 +235,7 @@
 			store := &slowWatchStore{delay: time.Minute}
 			f := newBareFollower(t, "n0", "a")
 			f.cfg.Store = store
-			f.merge("relay", changesReply{Through: 1, confirmedAt: time.Now().Add(-maxCopyAge)})
+			f.merge("relay", answer{through: 1, content: &replica.Delta{Through: 1}, confirmedAt: time.Now().Add(-maxCopyAge)})
 			test.prepare(f, store)
 			go f.followStore(t.Context())
 			await(t, "the copy is confirmed", propagationLimit, func() bool { return f.CopyAge() < maxCopyAge/2 })
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -50,30 +50,27 @@
 func (f *Follower) pollRelay(ctx context.Context, n replica.Node, wait time.Duration) error {
 	notice, hold := false, time.Duration(0)
 	for ctx.Err() == nil {
-		reply, err := f.poll(ctx, n, hold, wait+pollGrace, notice)
+		a, err := f.poll(ctx, n, hold, wait+pollGrace, notice)
 		if err != nil {
 			return err
 		}
-		if reply.Leaving {
-			f.cfg.Log.Info("relay is shutting down", "relay", n.Name, "notice_only", notice, "snapshot", reply.Snapshot,
-				"items", len(reply.Changes), "revision", reply.Through, "store_age_ms", reply.Age.Milliseconds())
-			if f.accepts(reply) {
-				f.merge(n.Name, reply)
-			}
+		if a.leaving {
+			f.logLeaving(n.Name, a)
+			f.merge(n.Name, a)
 			return errLeaving
 		}
-		f.recordAnswer(n.Name, reply.Age)
+		f.recordAnswer(n.Name, a.age)
 		switch {
-		case !f.accepts(reply):
+		case !f.accepts(a):
 			sleep(ctx, seedTimeout)
 			continue
-		case !notice:
-			f.merge(n.Name, reply)
-		case !f.awaitRevision(ctx, reply.Through):
+		case a.content != nil:
+			f.merge(n.Name, a)
+		case !f.awaitRevision(ctx, a.through):
 			notice = false
 			continue
 		default:
-			f.confirmByRelay(n.Name, reply)
+			f.confirmByRelay(n.Name, a)
 		}
 		hold = wait
 		notice = f.sameZoneRelayAnswers(n.Name)
@@ -81,8 +78,23 @@
 	return ctx.Err()
 }
 
+// answer is a relay's answer to a poll.
+type answer struct {
+	// through is the revision up to which the relay's replica is complete.
+	through platform.Revision
+	// content holds the changes up to through since the revision of the poll, which may
+	// be none. It is nil if the answer leaves them out.
+	content *replica.Delta
+	// leaving is set if the relay is about to shut down.
+	leaving bool
+	// age is the time from confirmedAt, when the relay's replica was last confirmed, to
+	// the answer. Without a gap it has been confirmed since unbrokenSince.
+	age                        time.Duration
+	confirmedAt, unbrokenSince time.Time
+}
+
 // poll calls a relay once.
-func (f *Follower) poll(ctx context.Context, n replica.Node, hold, timeout time.Duration, noticeOnly bool) (changesReply, error) {
+func (f *Follower) poll(ctx context.Context, n replica.Node, hold, timeout time.Duration, noticeOnly bool) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply changesReply
@@ -90,17 +102,35 @@
 	err := f.cfg.Transport.Call(ctx, peerOf(n), kindChanges, changesRequest{
 		After: f.cfg.Replica.View().Revision, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.CopyAge(),
 	}, &reply)
+	if err != nil {
+		return answer{}, err
+	}
 	// The relay answered no earlier than this, whenever the answer is read.
 	answered := start.time().Add(min(reply.Held, time.Since(start.at)))
-	reply.confirmedAt = answered.Add(-reply.Age)
-	reply.unbrokenSince = answered.Add(-reply.Unbroken)
-	return reply, err
+	a := answer{
+		through: reply.Through, leaving: reply.Leaving,
+		age: reply.Age, confirmedAt: answered.Add(-reply.Age), unbrokenSince: answered.Add(-reply.Unbroken),
+	}
+	// A relay of an earlier version does not mark its notices.
+	if !noticeOnly && !reply.Notice {
+		a.content = &replica.Delta{Items: reply.Changes, Through: reply.Through, Snapshot: reply.Snapshot, Lapsed: reply.Lapsed}
+	}
+	return a, nil
 }
 
-// accepts reports whether this node may use the content of a reply. A node that starts
-// takes no old copy while the store may serve it a current one.
-func (f *Follower) accepts(reply changesReply) bool {
-	return reply.Age < maxCopyAge || f.cfg.Replica.View().Revision > 0 || f.storeHasFailed()
+// logLeaving logs what the last answer of a relay holds.
+func (f *Follower) logLeaving(relay string, a answer) {
+	fields := []any{"relay", relay, "notice_only", a.content == nil, "revision", a.through, "store_age_ms", a.age.Milliseconds()}
+	if a.content != nil {
+		fields = append(fields, "snapshot", a.content.Snapshot, "items", len(a.content.Items))
+	}
+	f.cfg.Log.Info("relay is shutting down", fields...)
+}
+
+// accepts reports whether this node may use an answer. A node that starts takes no old
+// copy while the store may serve it a current one.
+func (f *Follower) accepts(a answer) bool {
+	return a.age < maxCopyAge || f.cfg.Replica.View().Revision > 0 || f.storeHasFailed()
 }
 
 // refreshCopy asks the relays to confirm this node's copy when it gets old, because a
@@ -118,8 +148,8 @@
 		fd.askedAt = now
 		go func() {
 			// The polls of the feed decide whether a relay that fails here is lost.
-			if reply, err := f.poll(ctx, fd.node, 0, pollGrace, false); err == nil && f.accepts(reply) {
-				f.merge(fd.node.Name, reply)
+			if a, err := f.poll(ctx, fd.node, 0, pollGrace, false); err == nil {
+				f.merge(fd.node.Name, a)
 			}
 		}()
 	}
@@ -167,22 +197,24 @@
 	return false
 }
 
-// merge applies a relay's reply to the replica.
-func (f *Follower) merge(relay string, reply changesReply) {
-	f.cfg.Replica.Merge(sourceRelay+relay, replica.Delta{
-		Items: reply.Changes, Through: reply.Through, Snapshot: reply.Snapshot, Lapsed: reply.Lapsed,
-	})
-	f.confirmByRelay(relay, reply)
+// merge applies a relay's answer to the replica, if it has content that this node may
+// use. Without it, the answer confirms nothing either.
+func (f *Follower) merge(relay string, a answer) {
+	if a.content == nil || !f.accepts(a) {
+		return
+	}
+	f.cfg.Replica.Merge(sourceRelay+relay, *a.content)
+	f.confirmByRelay(relay, a)
 }
 
-// confirmByRelay records what a relay's reply says of this node's replica, which
-// contains all changes of the reply.
-func (f *Follower) confirmByRelay(relay string, reply changesReply) {
+// confirmByRelay records what a relay's answer says of this node's replica, which
+// contains all changes up to the revision of the answer.
+func (f *Follower) confirmByRelay(relay string, a answer) {
 	f.mu.Lock()
 	f.confirmations.adjust()
-	f.confirmations.record(reply.confirmedAt, true)
+	f.confirmations.record(a.confirmedAt, true)
 	f.mu.Unlock()
-	if reply.Age < maxCopyAge && f.servedDuringOutage(reply.unbrokenSince) {
+	if a.age < maxCopyAge && f.servedDuringOutage(a.unbrokenSince) {
 		f.cfg.Replica.EndLapses(sourceRelay + relay)
 	}
 }
--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -33,8 +33,7 @@
 // changesReply answers a changesRequest.
 type changesReply struct {
 	Changes []platform.Item `cbor:"1,keyasint,omitempty"`
-	// Through is the revision up to which the relay's replica is complete. If
-	// NoticeOnly is set, the changes up to it are left out.
+	// Through is the revision up to which the relay's replica is complete.
 	Through platform.Revision `cbor:"2,keyasint"`
 	// Snapshot is set if Changes is a full snapshot of the store.
 	Snapshot bool `cbor:"3,keyasint,omitempty"`
@@ -49,12 +48,12 @@
 	Held time.Duration `cbor:"7,keyasint,omitempty"`
 	// Unbroken is for how long the relay's replica has been confirmed without a gap.
 	Unbroken time.Duration `cbor:"8,keyasint,omitempty"`
+	// Notice is set if the changes up to Through are left out, so that Changes,
+	// Snapshot and Lapsed say nothing.
+	Notice bool `cbor:"9,keyasint,omitempty"`
 
 	// hasChanges is set if there are changes, sent or not.
 	hasChanges bool
-	// confirmedAt and unbrokenSince are the times of Age and Unbroken on the clock of
-	// the node that polled.
-	confirmedAt, unbrokenSince time.Time
 }
 
 // serveChanges answers the poll of another node.
@@ -104,7 +103,7 @@
 		Unbroken: f.unbroken(), Leaving: f.leaving.Load(),
 	}
 	if req.NoticeOnly {
-		reply.Changes, reply.Lapsed = nil, nil
+		reply.Changes, reply.Snapshot, reply.Lapsed, reply.Notice = nil, false, nil, true
 	}
 	reply.Held, reply.Age = time.Since(received), time.Since(confirmedAt)
 	return reply
--- a/gateway/follow/sharers_test.go
+++ b/gateway/follow/sharers_test.go
@@ -53,9 +53,9 @@
 	c.Check(f.LimitShares(now.Add(propagationTime)), qt.Equals, 8, qt.Commentf("partitioned: as many nodes may have joined"))
 
 	confirmed := now.Add(propagationTime)
-	f.confirmByRelay("n1", changesReply{Age: time.Second, confirmedAt: confirmed})
+	f.confirmByRelay("n1", answer{age: time.Second, confirmedAt: confirmed})
 	c.Check(f.LimitShares(confirmed.Add(propagationTime-time.Millisecond)), qt.Equals, 4, qt.Commentf("a relay confirms the replica"))
 	c.Check(f.LimitShares(confirmed.Add(propagationTime)), qt.Equals, 8, qt.Commentf("the confirmation is old"))
-	f.confirmByRelay("n1", changesReply{Age: time.Hour, confirmedAt: confirmed.Add(-time.Hour)})
+	f.confirmByRelay("n1", answer{age: time.Hour, confirmedAt: confirmed.Add(-time.Hour)})
 	c.Check(f.LimitShares(confirmed.Add(propagationTime)), qt.Equals, 8, qt.Commentf("a relay without the store confirms nothing"))
 }
