replica: a store read corrects a wrong copy

Change: what the store itself returns as of a revision is the state at that revision. An entry that the copy has at a higher revision, though not beyond that of the read, is a write that was never made, and is put back with an error in the log. Entries beyond the revision of the read stay, as they are newer. The word of another node corrects nothing. Nodes that are behind get the whole copy after a correction, not the changes.

TestStoreReadEndsAWrongCopy failed before (0 targets after the read) and passes.

--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -2,8 +2,9 @@
 // configuration, the targets and the nodes of the fleet.
 //
 // A replica merges changes from several sources, the store itself and other nodes, in
-// any order. Of each key it keeps the entry with the highest revision of the store. A
-// configuration is never replaced by an older one.
+// any order. Of each key it keeps the entry with the highest revision of the store, unless
+// the store itself, read later, has another one. A configuration is never replaced by an
+// older one.
 package replica
 
 import (
@@ -136,37 +137,63 @@
 	return r.Merge(source, Delta{Items: changes, Through: through})
 }
 
-// Replace merges a full snapshot of the store as of the revision at. Keys that are
-// missing in it are removed. If the store was away before, grace is how long targets
-// that are missing stay usable, as they may report again. Replace reports whether
-// anything was new.
+// Replace merges a full snapshot of the store as of the revision at, which the store
+// itself delivered. Keys that are missing in it are removed, and entries that contradict
+// it are corrected. If the store was away before, grace is how long targets that are
+// missing stay usable, as they may report again. Replace reports whether anything was new.
 func (r *Replica) Replace(source string, content []platform.Item, at platform.Revision, grace time.Duration) bool {
-	return r.mergeDelta(source, Delta{Items: content, Through: at, Snapshot: true}, grace)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.source, r.implied = source, false
+	d := Delta{Items: content, Through: at, Snapshot: true}
+	return r.mergeDelta(d, grace, r.correct(d))
 }
 
 // Merge merges what another replica passed on. It reports whether anything was new.
-func (r *Replica) Merge(source string, d Delta) bool { return r.mergeDelta(source, d, 0) }
-
-// mergeDelta merges a delta. If it is a snapshot, grace is how long targets that are
-// missing in it stay usable.
-func (r *Replica) mergeDelta(source string, d Delta, grace time.Duration) bool {
+func (r *Replica) Merge(source string, d Delta) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.source, r.implied = source, false
-	fresh := false
+	return r.mergeDelta(d, 0, false)
+}
+
+// mergeDelta merges a delta. If it is a snapshot, grace is how long targets that are
+// missing in it stay usable. fresh is set if entries have already changed.
+func (r *Replica) mergeDelta(d Delta, grace time.Duration, fresh bool) bool {
 	for _, item := range d.Items {
 		fresh = r.merge(item, d.Lapsed[item.Key]) || fresh
 	}
 	if d.Snapshot {
 		removed := r.removeMissing(d, grace)
 		fresh = fresh || removed > 0
-		r.log.Info("snapshot merged", "source", source, "revision", d.Through, "before", r.revision, "items", len(d.Items), "removed", removed)
+		r.log.Info("snapshot merged", "source", r.source, "revision", d.Through, "before", r.revision, "items", len(d.Items), "removed", removed)
 	}
 	r.publish(d, fresh)
 	r.scheduleLapses()
 	return fresh
 }
 
+// correct puts back the entries of a snapshot of the store that this replica has at a
+// higher revision, though no higher than that of the snapshot: no such write was made. It
+// reports whether there are any.
+func (r *Replica) correct(d Delta) bool {
+	corrected := 0
+	for _, item := range d.Items {
+		known, ok := r.items[item.Key]
+		if ok && known.Revision > item.Revision && known.Revision <= d.Through {
+			r.set(item, 0)
+			corrected++
+		}
+	}
+	if corrected == 0 {
+		return false
+	}
+	// What was passed on is wrong, and the changes don't repair it.
+	r.changesFrom = max(r.changesFrom, d.Through)
+	r.log.Error("this copy of the store was wrong and is corrected", "entries", corrected, "source", r.source, "revision", d.Through)
+	return true
+}
+
 // removeMissing removes the keys that a snapshot lacks. It returns their number.
 func (r *Replica) removeMissing(d Delta, grace time.Duration) int {
 	r.implied = true
@@ -218,6 +245,12 @@
 	if known && item.Revision <= old.Revision {
 		return false
 	}
+	r.set(item, grace)
+	return true
+}
+
+// set stores one item. A target that it removes stays usable for the grace.
+func (r *Replica) set(item platform.Item, grace time.Duration) {
 	r.items[item.Key] = item
 	r.changes = append(r.changes, item)
 	if len(r.changes) > maxChanges {
@@ -229,10 +262,9 @@
 	}
 	if _, listed := r.targets[item.Key]; listed && item.Deleted && grace > 0 {
 		r.lapse(item.Key, grace)
-		return true
+		return
 	}
 	r.decode(item)
-	return true
 }
 
 // decode updates the configuration, the targets or the nodes from one item.
--- a/gateway/replica/replica_test.go
+++ b/gateway/replica/replica_test.go
@@ -110,3 +110,32 @@
 	qt.Check(t, node.View().Revision, qt.Equals, platform.Revision(10))
 	qt.Check(t, ids(node.View()), qt.DeepEquals, []string{"a"})
 }
+
+// TestStoreReadEndsAWrongCopy guards against a node that takes entries for removed which
+// the store has, and goes on doing so whenever it reads the store.
+func TestStoreReadEndsAWrongCopy(t *testing.T) {
+	c := qt.New(t)
+	a, b := target("a", "10.0.0.1:1", "ready", 3), target("b", "10.0.0.2:1", "ready", 4)
+	n := Node{Name: "n", ControlAddress: "10.0.0.9:1"}
+	node := platform.Item{Key: n.Key(), Value: n.Encode(), Revision: 5}
+	r := newReplica()
+	r.Replace("test", []platform.Item{a, b, node, configuration(1, 2)}, 6, 0)
+	r.Merge("relay", Delta{Through: 9, Snapshot: true})
+	c.Assert(ids(r.View()), qt.HasLen, 0)
+
+	// The store has the entries as they were, and a version that was written meanwhile.
+	content := []platform.Item{a, b, node, configuration(2, 8)}
+	r.Replace("test", content, 9, 0)
+	c.Check(ids(r.View()), qt.DeepEquals, []string{"a", "b"})
+	c.Check(r.View().Nodes, qt.DeepEquals, []Node{n})
+	c.Check(r.View().Config.Revision, qt.Equals, dynamic.Revision(2))
+
+	r.Apply("test", []platform.Item{{Key: b.Key, Revision: 12, Deleted: true}}, 12)
+	r.Replace("test", content, 11, 0)
+	c.Check(ids(r.View()), qt.DeepEquals, []string{"a"}, qt.Commentf("the target was removed after the store was read"))
+
+	late := newReplica()
+	late.Replace("test", content, 8, 0)
+	late.Merge("relay", r.Changes(late.View().Revision))
+	c.Check(ids(late.View()), qt.DeepEquals, []string{"a"}, qt.Commentf("a node that is behind gets the whole copy"))
+}
