follow: nodes with different copies of one revision read the store

Callers of a node whose copy of the store lacked entries or a change saw 503 or 404 for good, though its relay had the whole copy: polls ask for what is later than a revision, and the node stated a revision up to which its copy was not complete.

Cause: nothing compared copies. A copy that was wrong once, for whatever reason, was never found wrong.

Change: polls carry a checksum of the copy at their revision. A relay that has the same revision and another checksum, still after 300 ms, says so and reads the store itself; the node reads it if the next answer says so again. At most one such read in 5 s for each node. Copies with entries beyond their revision, as after a read in pages, are not compared.

--- a/gateway/follow/confirmation.go
+++ b/gateway/follow/confirmation.go
@@ -202,13 +202,13 @@
 }
 
 // mayResume reports whether this node may follow the store from its replica's revision
-// on: the replica was confirmed, and nothing indicates an outage since, in which entries
-// of targets that live may have expired.
+// on: the replica was confirmed and is not known to differ from others, and nothing
+// indicates an outage since, in which entries of targets that live may have expired.
 func (f *Follower) mayResume() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := &f.confirmations
-	return !c.last.IsZero() && !c.failedAt.After(c.last)
+	return !f.readDue && !c.last.IsZero() && !c.failedAt.After(c.last)
 }
 
 // storeHasFailed reports whether a call of this node to the store has ever failed.
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -48,7 +48,7 @@
 // relay does not hold the first poll, whose answer shows that the relay is in use.
 // This also leaves time to connect to a relay that is starting.
 func (f *Follower) pollRelay(ctx context.Context, n replica.Node, wait time.Duration) error {
-	notice, hold := false, time.Duration(0)
+	notice, hold, differences := false, time.Duration(0), 0
 	for ctx.Err() == nil {
 		a, err := f.poll(ctx, n, hold, wait+pollGrace, notice)
 		if err != nil {
@@ -60,6 +60,11 @@
 			return errLeaving
 		}
 		f.recordAnswer(n.Name, a.age)
+		if differences++; !a.differs {
+			differences = 0
+		} else if differences >= differencesToRead {
+			f.checkCopy(n.Name)
+		}
 		switch {
 		case !f.accepts(a):
 			sleep(ctx, seedTimeout)
@@ -87,6 +92,8 @@
 	content *replica.Delta
 	// leaving is set if the relay is about to shut down.
 	leaving bool
+	// differs is set if the relay's replica had the revision of the poll and other entries.
+	differs bool
 	// age is the time from confirmedAt, when the relay's replica was last confirmed, to
 	// the answer. Without a gap it has been confirmed since unbrokenSince.
 	age                        time.Duration
@@ -98,9 +105,10 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply changesReply
+	view := f.cfg.Replica.View()
 	start := startCall()
 	err := f.cfg.Transport.Call(ctx, peerOf(n), kindChanges, changesRequest{
-		After: f.cfg.Replica.View().Revision, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.CopyAge(),
+		After: view.Revision, Checksum: view.Checksum, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.CopyAge(),
 	}, &reply)
 	if err != nil {
 		return answer{}, err
@@ -108,7 +116,7 @@
 	// The relay answered no earlier than this, whenever the answer is read.
 	answered := start.time().Add(min(reply.Held, time.Since(start.at)))
 	a := answer{
-		through: reply.Through, leaving: reply.Leaving,
+		through: reply.Through, leaving: reply.Leaving, differs: reply.Differs,
 		age: reply.Age, confirmedAt: answered.Add(-reply.Age), unbrokenSince: answered.Add(-reply.Unbroken),
 	}
 	// A relay of an earlier version does not mark its notices.
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -84,6 +84,10 @@
 	searchCtx context.Context
 	// lastPolled is when another node last polled this one.
 	lastPolled time.Time
+	// readDue is set if the store must be read because copies differ, and checkedAt is
+	// when that was last found.
+	readDue   bool
+	checkedAt time.Time
 	// registrationSeenAt is when this node first saw its own registration in its
 	// replica.
 	registrationSeenAt time.Time
@@ -329,7 +333,7 @@
 func (f *Follower) needsStore(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.lastPolled) < relayIdleTime {
+	if f.readDue || now.Sub(f.lastPolled) < relayIdleTime {
 		return true
 	}
 	relays, _ := f.candidates(now)
--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -28,6 +28,9 @@
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
 	// Probe asks only for a sign of life: the node need not become a relay.
 	Probe bool `cbor:"6,keyasint,omitempty"`
+	// Checksum is that of the node's replica at the revision After, or 0 if the replica
+	// cannot be compared.
+	Checksum uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // changesReply answers a changesRequest.
@@ -51,13 +54,15 @@
 	// Notice is set if the changes up to Through are left out, so that Changes,
 	// Snapshot and Lapsed say nothing.
 	Notice bool `cbor:"9,keyasint,omitempty"`
+	// Differs is set if the relay's replica has the revision After and another checksum.
+	Differs bool `cbor:"10,keyasint,omitempty"`
 
 	// hasChanges is set if there are changes, sent or not.
 	hasChanges bool
 }
 
 // serveChanges answers the poll of another node.
-func (f *Follower) serveChanges(ctx context.Context, _ string, body []byte) (any, error) {
+func (f *Follower) serveChanges(ctx context.Context, from string, body []byte) (any, error) {
 	received := time.Now()
 	var req changesRequest
 	if err := control.Unmarshal(body, &req); err != nil {
@@ -71,13 +76,19 @@
 	ageCheck := time.NewTicker(ageCheckInterval)
 	defer ageCheck.Stop()
 	wasFresh := req.Fresh || f.CopyAge() < maxCopyAge
+	settled := false
 	for expired := req.Wait <= 0; ; {
 		changed := f.cfg.Replica.Changed()
 		// The confirmation is read before the content that it vouches for.
 		confirmedAt, renewed := f.confirmation()
 		reply := f.changesReply(req, confirmedAt, received)
 		younger := confirmedAt.Sub(received.Add(-req.Age)) >= confirmationStep
-		if expired || reply.hasChanges || reply.Leaving || (wasFresh && reply.Age >= maxCopyAge) || (younger && !req.NoticeOnly) {
+		// Copies that are being brought up to date may differ for a moment.
+		reply.Differs = reply.Differs && settled
+		if expired || reply.Differs || reply.hasChanges || reply.Leaving || (wasFresh && reply.Age >= maxCopyAge) || (younger && !req.NoticeOnly) {
+			if reply.Differs {
+				f.checkCopy(from)
+			}
 			return reply, nil
 		}
 		if req.NoticeOnly {
@@ -87,6 +98,7 @@
 		case <-changed:
 		case <-renewed:
 		case <-ageCheck.C:
+			settled = true
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
@@ -100,7 +112,7 @@
 	d := f.cfg.Replica.Changes(req.After)
 	reply := changesReply{
 		Changes: d.Items, Through: d.Through, Snapshot: d.Snapshot, Lapsed: d.Lapsed, hasChanges: len(d.Items) > 0,
-		Unbroken: f.unbroken(), Leaving: f.leaving.Load(),
+		Unbroken: f.unbroken(), Leaving: f.leaving.Load(), Differs: differs(req, f.cfg.Replica.View()),
 	}
 	if req.NoticeOnly {
 		reply.Changes, reply.Snapshot, reply.Lapsed, reply.Notice = nil, false, nil, true
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -60,7 +60,7 @@
 		}
 		err := f.follow(ctx, resume && f.mayResume())
 		resume = err == nil
-		if err == nil || errors.IsAny(err, platform.ErrCompacted, errWatchStalled) {
+		if err == nil || errors.IsAny(err, platform.ErrCompacted, errWatchStalled, errCopyDiffers) {
 			failures = 0
 			continue
 		}
@@ -111,6 +111,9 @@
 		case err := <-w.ended:
 			return err
 		case <-review.C:
+			if f.mustRead() {
+				return errCopyDiffers
+			}
 			if !f.needsStore(time.Now()) {
 				return nil
 			}
@@ -138,6 +141,7 @@
 	}
 	f.cfg.Replica.Replace(sourceRead, content, at, f.beginOutageGrace())
 	f.recordConfirmation(start.time())
+	f.recordRead()
 	return at, nil
 }
 
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -35,6 +35,10 @@
 	// its routes.
 	Config *dynamic.Config
 	Table  *routing.Table
+	// Checksum identifies the entries of the copy. Two copies with the same Revision have
+	// the same one. It is 0 if the copy holds entries beyond Revision, so that it cannot
+	// be compared.
+	Checksum uint64
 	// Targets lists the usable targets of each service, sorted by name.
 	Targets map[string][]platform.Target
 	// Nodes lists the registered nodes, sorted by name.
@@ -73,6 +77,10 @@
 	mu       sync.Mutex
 	items    map[string]platform.Item
 	revision platform.Revision
+	// sum is the exclusive or of the hashes of all entries that are not removed, and
+	// highest the highest revision among all.
+	sum     uint64
+	highest platform.Revision
 	// changes holds the recent changes in the order of their arrival. It is complete
 	// after the revision changesFrom.
 	changes     []platform.Item
@@ -97,6 +105,7 @@
 func New(log hclog.Logger) *Replica {
 	r := &Replica{
 		log:     log,
+		sum:     emptySum,
 		items:   make(map[string]platform.Item),
 		changed: make(chan struct{}),
 		targets: make(map[string]platform.Target),
@@ -251,6 +260,8 @@
 
 // set stores one item. A target that it removes stays usable for the grace.
 func (r *Replica) set(item platform.Item, grace time.Duration) {
+	r.sum ^= itemHash(r.items[item.Key]) ^ itemHash(item)
+	r.highest = max(r.highest, item.Revision)
 	r.items[item.Key] = item
 	r.changes = append(r.changes, item)
 	if len(r.changes) > maxChanges {
@@ -335,7 +346,7 @@
 	if !fresh && !advanced {
 		return
 	}
-	v := &View{Revision: r.revision, Config: r.config, Table: r.table}
+	v := &View{Revision: r.revision, Checksum: r.checksum(), Config: r.config, Table: r.table}
 	if old := r.view.Load(); !fresh {
 		v.Targets, v.Nodes = old.Targets, old.Nodes
 	} else {
