follow: an answer of a relay without a copy confirms nothing

An answer to a poll that lacks all fields, as one from another version might, had age 0: the node took its own copy, or none at all, for as current as that and didn't read the store.

Change: a relay that states no revision has no copy that could be confirmed.

TestRelayWithoutACopyConfirmsNothing failed before (age 0.35 ms) and passes.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return answer{}, err
 	}
+	if reply.Through == 0 {
+		reply.Age = neverConfirmed // the relay has no copy that could be confirmed
+	}
 	// The relay answered no earlier than this, whenever the answer is read.
 	answered := start.time().Add(min(reply.Held, time.Since(start.at)))
 	a := answer{
--- a/gateway/follow/leaving_test.go
+++ b/gateway/follow/feed_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -56,3 +57,15 @@
 		})
 	}
 }
+
+// TestRelayWithoutACopyConfirmsNothing guards against a node that takes its copy for
+// current by an answer that says nothing, as that of a relay of another version, and
+// doesn't read the store.
+func TestRelayWithoutACopyConfirmsNothing(t *testing.T) {
+	relay := serveRelay(t, func(context.Context, changesRequest) changesReply { return changesReply{} })
+	f := newBareFollower(t, "n1", "b")
+	ctx, cancel := context.WithTimeout(t.Context(), 3*seedTimeout)
+	defer cancel()
+	_ = f.pollRelay(ctx, relay, sameZoneWait)
+	qt.Check(t, f.CopyAge() >= neverConfirmed, qt.IsTrue, qt.Commentf("%s", f.CopyAge()))
+}
