control: the answer that opens a connection between nodes is bounded

Report of another operator: a faulty server sent bytes without end, the machine that had called it kept them and ran out of memory. Here the calls to targets, to the store and probes are bounded and tested; the calls of one node to another were not. The address of a node that is gone may belong to something else, and a node that looks for a relay connects to dozens of addresses at once.

Cause: connections were opened with the default HTTP client, which keeps the head of an answer up to 10 MB and follows redirects. An endless head took 65 to 96 MB, garbage included, for each connection; the smallest hosts have 184 MB.

Change: the transport has a client of its own, with heads up to 16 KB and without redirects; the same limit holds for requests that open a connection here.

--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -20,6 +20,9 @@
 	sweepInterval    = 10 * time.Second
 	// MinKeyBytes is the minimum length of the shared key.
 	MinKeyBytes = 16
+	// maxHeadBytes limits the head of the request that opens a connection, and that of
+	// its answer.
+	maxHeadBytes = 16 << 10
 	// maxInbound is the largest number of connections from other nodes.
 	maxInbound = 512
 )
@@ -111,7 +114,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(controlPath, t.accept)
-	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout}
+	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout, MaxHeaderBytes: maxHeadBytes}
 	go t.sweep()
 	return t, nil
 }
@@ -264,6 +267,13 @@
 	}
 }
 
+// dialClient opens connections. The address of a node may belong to something else by
+// now, whose answer can be of any kind and length.
+var dialClient = &http.Client{
+	Transport:     &http.Transport{MaxResponseHeaderBytes: maxHeadBytes},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 func (t *Transport) dial(ctx context.Context, to Peer) (*conn, error) {
 	if err := t.ctx.Err(); err != nil {
 		return nil, ErrClosed
@@ -271,7 +281,7 @@
 	t.stats.dials.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	ws, _, err := websocket.Dial(ctx, "ws://"+to.ControlAddress+controlPath, nil)
+	ws, _, err := websocket.Dial(ctx, "ws://"+to.ControlAddress+controlPath, &websocket.DialOptions{HTTPClient: dialClient})
 	if err != nil {
 		return nil, err
 	}
