gateway: a drain begins no work that it would cut

Here none is cut without an answer, but callers of a node that is stopped got 504 ("may have run") for bookings that had waited for a target during the drain and were sent to it less than a second before the node ends what is left.

Cause: a request accepted in a drain asked for a target with the time until its own deadline, which may lie far behind the end of the process. It waited for it, was sent, and was ended by the drain.

Change: in a drain, a request asks with the time until the drain ends what is left; its home, which knows the queue and the usual duration, refuses it at once if it can't end by then. A grant that comes too late all the same is not used: work needs its usual duration until the end, and twice that if it must not be repeated. Both are refused as "not run", so that callers go to another node.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,7 +79,7 @@
 	a := balance.Attempt{
 		ID:      balance.ID{Node: n.runNumber, Number: n.attempts.Add(1)},
 		Service: r.service, Route: r.route.Name, Request: r.id, Idempotent: r.idempotent,
-		Priority: r.route.Priority, TimeLeft: time.Until(r.deadline), Exclude: p.exclude, Only: p.only, Kind: p.kind, Last: p.last,
+		Priority: r.route.Priority, TimeLeft: time.Until(n.workEnd(r.deadline)), Exclude: p.exclude, Only: p.only, Kind: p.kind, Last: p.last,
 		Fingerprint: r.fingerprint, Prefer: n.connected(r.service), Avoid: n.unreachable.current(time.Now()), Paused: n.pauses.current(time.Now()),
 		SoftTimeLeft: time.Until(r.softDeadline), AvailabilityZone: n.settings.AvailabilityZone,
 	}
@@ -89,6 +89,9 @@
 	}
 	if decision.Target == "" {
 		res := attemptResult{result: refusedResult(decision.Reason, decision.RetryAfter), notRun: true, failed: true}
+		if decision.Reason == outcome.ReasonTooLate && n.workEnd(r.deadline).Before(r.deadline) {
+			res.result = refusedResult(outcome.ReasonShutdown, minRetryAfter) // another node has more time
+		}
 		res.home = decision.Home
 		return res
 	}
@@ -111,6 +114,11 @@
 			"permit", decision.Permit)
 		return unusedGrant()
 	}
+	if n.mayAbort(r, decision.UsualLatency) {
+		n.log.Info("grant not used: the process ends too soon", "request", r.id, "target", decision.Target, "home", decision.Home,
+			"usual_ms", decision.UsualLatency.Milliseconds())
+		return attemptResult{result: refusedResult(outcome.ReasonShutdown, minRetryAfter), notRun: true, failed: true}
+	}
 	granted(decision.Grant)
 	start := time.Now()
 	res := n.send(ctx, r, target, p)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -32,6 +32,9 @@
 	// node may exit early. Callers that the balancer sent to this node before it
 	// noticed the drain may still be about to send a request.
 	quietTime = 1200 * time.Millisecond
+	// unrepeatableFactor is how many times its usual duration work that must not be
+	// repeated has until the abort when it begins in a drain.
+	unrepeatableFactor = 2
 	// drainPollInterval is how often the node checks whether all requests are
 	// answered.
 	drainPollInterval = 20 * time.Millisecond
@@ -63,6 +66,7 @@
 func (n *Node) drain() {
 	start := time.Now()
 	s := newDrainSchedule(start, n.settings.Bounds.Shutdown)
+	n.abortAt.Store(&s.abortAt)
 	n.draining.Store(true)
 	time.AfterFunc(time.Until(s.refuseAt), func() {
 		n.refusing.Store(true)
@@ -87,6 +91,26 @@
 	}
 }
 
+// workEnd returns the time by which work that begins now has to end: the deadline, or
+// the abort of the requests in flight if that is earlier.
+func (n *Node) workEnd(deadline time.Time) time.Time {
+	if abort := n.abortAt.Load(); abort != nil && abort.Before(deadline) {
+		return *abort
+	}
+	return deadline
+}
+
+// mayAbort reports whether a drain may abort work on a request that begins now and
+// usually takes the given time. If work that must not be repeated is aborted, the caller
+// cannot know whether it was done, so that it gets more time.
+func (n *Node) mayAbort(r *request, usual time.Duration) bool {
+	if !r.idempotent {
+		usual *= unrepeatableFactor
+	}
+	end := n.workEnd(r.deadline)
+	return end.Before(r.deadline) && time.Until(end) < usual
+}
+
 // abortInFlight aborts the requests that are still in flight.
 func (n *Node) abortInFlight() {
 	if left := n.callers.InFlight(); left > 0 {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -73,6 +73,8 @@
 	// abort is closed when the requests in flight are aborted.
 	refusing atomic.Bool
 	abort    chan struct{}
+	// abortAt is when that will be; it is nil before the drain.
+	abortAt atomic.Pointer[time.Time]
 }
 
 // New returns a node that is not yet running. It fails if it cannot listen on an
--- a/integration/drain_test.go
+++ b/integration/drain_test.go
@@ -50,7 +50,11 @@
 	qt.Assert(f.t, err, qt.IsNil)
 	f.t.Cleanup(func() { _ = c.Close() })
 	_ = c.SetDeadline(time.Now().Add(2 * shutdownTime))
-	return &callerConn{Conn: c, t: f.t, r: bufio.NewReader(c)}
+	return newCallerConn(f.t, c)
+}
+
+func newCallerConn(t *testing.T, c net.Conn) *callerConn {
+	return &callerConn{Conn: c, t: t, r: bufio.NewReader(c)}
 }
 
 // send writes a request without waiting for its answer.
