--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -16,6 +17,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"filbertmill.example/gateway/replica"
 	"filbertmill.example/outcome"
 	"filbertmill.example/platform"
 	"filbertmill.example/testbed/backend"
@@ -38,12 +40,17 @@
 	for i := range endlessHealthy {
 		f.addBackend(fmt.Sprintf("i-calm-%d", i), "calm", gatewayZones[i%2])
 	}
-	f.configure(1500*time.Millisecond, `{"name":"calm","kind":"safe","slo-s":0.6,"priority":1,"match":{"prefix":"/calm/"},
-		"action":{"service":"calm","timeout-s":1.5,"attempts":3}}`)
+	f.configure(1500*time.Millisecond, safeRoute("calm"))
 	f.await("the calm service answers", 5*time.Second, func() bool { return f.send(0, "GET", "calm", "warm3").StatusCode == 200 })
 	return f
 }
 
+// safeRoute returns the route of the service of the same name.
+func safeRoute(name string) string {
+	return fmt.Sprintf(`{"name":%q,"kind":"safe","slo-s":0.6,"priority":1,"match":{"prefix":"/%s/"},
+		"action":{"service":%q,"timeout-s":1.5,"attempts":3}}`, name, name, name)
+}
+
 // addEndless adds, for each kind, a target of look and one of book whose answers do
 // not end. With a trickle other than 0 they send a few bytes at this interval.
 func (f *gatewayFleet) addEndless(trickle time.Duration, kinds ...endless.Kind) {
@@ -233,6 +240,77 @@
 	f.checkEndless()
 }
 
+// TestGatewayOutlivesEndlessPeers guards against a process that runs out of memory because
+// the addresses of nodes that are gone belong to programs that send bytes without end: it
+// connects to many of them at once to find a relay.
+func TestGatewayOutlivesEndlessPeers(t *testing.T) {
+	const gone = 130 // the nodes of a large fleet
+	f := endlessFleet(t)
+	for i := range gone {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = l.Close() })
+		go answerEndlessly(l, endless.Kinds[i%len(endless.Kinds)])
+		n := replica.Node{
+			Name: fmt.Sprintf("gone-%d", i), AvailabilityZone: gatewayZones[i%2], ControlAddress: l.Addr().String(), CPUShare: 0.8,
+		}
+		_, err = f.store.Txn(t.Context(), nil, []platform.Put{{Key: n.Key(), Value: n.Encode()}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	t.Logf("%v", f.endlessLoad("peers", 300))
+	f.checkEndless()
+}
+
+// answerEndlessly answers each connection with bytes of a kind that do not end.
+func answerEndlessly(l net.Listener, kind endless.Kind) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer nc.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				_, _ = endless.Write(nc, kind, "", "body", 0)
+			}
+		}()
+	}
+}
+
+// TestGatewayOutlivesEndlessServices guards against limits that hold for each service and
+// add up to more than the memory of a small host.
+func TestGatewayOutlivesEndlessServices(t *testing.T) {
+	const services = 12
+	f := endlessFleet(t)
+	routes := []string{safeRoute("calm")}
+	for i := range services {
+		name := fmt.Sprintf("s%d", i)
+		routes = append(routes, safeRoute(name))
+		f.services = append(f.services, name)
+		for k := range 3 {
+			f.addBackend(fmt.Sprintf("i-%s-%d", name, k), name, gatewayZones[k%2])
+			f.backends[len(f.backends)-1].Set(backend.Behavior{
+				Work: 10 * time.Millisecond, EndlessShare: 1, Endless: endless.Kinds[(3*i+k)%len(endless.Kinds)],
+			})
+		}
+	}
+	f.configure(1500*time.Millisecond, routes...)
+	time.Sleep(time.Second) // the node receives the targets and the routes
+	var wg sync.WaitGroup
+	for i := range 50 * services {
+		wg.Go(func() {
+			route := fmt.Sprintf("s%d", i%services)
+			resp := f.send(0, "GET", route, fmt.Sprintf("%s-%d", route, i))
+			qt.Check(t, resp.StatusCode == 502 || resp.StatusCode == 503 || resp.StatusCode == 504 || resp.StatusCode == 200, qt.IsTrue,
+				qt.Commentf("%s: %d", route, resp.StatusCode))
+		})
+		time.Sleep(4 * time.Millisecond)
+	}
+	t.Logf("%v", f.endlessLoad("beside", 100))
+	wg.Wait()
+	f.checkEndless()
+}
+
 // TestGatewayEndsTrickles guards against endless answers that arrive a few bytes at a
 // time and keep a request in flight beyond its deadline.
 func TestGatewayEndsTrickles(t *testing.T) {
--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -33,6 +33,8 @@
 	specs    []process.Gateway
 	nodes    []*process.Node
 	version  int
+	// services names the services besides look, book and calm.
+	services []string
 }
 
 var gatewayZones = []string{"kandy", "nuwara"}
@@ -107,11 +109,13 @@
 			"action":{"service":%q,"timeout-s":%g,"attempts":3}}`, name, kind, name, service, timeout.Seconds())
 	}
 	routes := append([]string{route("look", "safe", "look"), route("book", "unsafe", "book")}, extra...)
+	var services []string
+	for _, name := range append([]string{"look", "book", "calm"}, f.services...) {
+		services = append(services, fmt.Sprintf(`{"name":%q,"health-path":"/health","max-conns":50}`, name))
+	}
 	text := fmt.Sprintf(`{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,
-		"idle-timeout-s":15},"listeners":[{"host":"g.example","policy":[%s]}],
-		"clusters":[{"name":"look","health-path":"/health","max-conns":50},{"name":"book","health-path":"/health","max-conns":50},
-		{"name":"calm","health-path":"/health","max-conns":50}]}`,
-		f.version, strings.Join(routes, ","))
+		"idle-timeout-s":15},"listeners":[{"host":"g.example","policy":[%s]}],"clusters":[%s]}`,
+		f.version, strings.Join(routes, ","), strings.Join(services, ","))
 	_, err := f.store.Txn(f.t.Context(), nil, []platform.Put{{Key: platform.ConfigurationKey, Value: []byte(text)}})
 	qt.Assert(f.t, err, qt.IsNil)
 }
