control: a refused connection to a node is closed

Change: the client keeps no connections; those between nodes are WebSockets, which leave it.

TestRefusedConnectionIsClosed failed before (still open after 2 s) and passes.

--- a/fleet/control/endless_test.go
+++ b/fleet/control/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -60,3 +61,32 @@
 		})
 	}
 }
+
+// TestRefusedConnectionIsClosed guards against descriptors that stay in use, as what
+// answers at the address of a node that is gone refuses and leaves the connection open.
+func TestRefusedConnectionIsClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	closed := make(chan error, 1)
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			closed <- err
+			return
+		}
+		defer nc.Close()
+		r := bufio.NewReader(nc)
+		if _, err := http.ReadRequest(r); err != nil {
+			closed <- err
+			return
+		}
+		_, _ = nc.Write([]byte("HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno"))
+		_ = nc.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err = r.ReadByte()
+		closed <- err
+	}()
+	node, _ := startTransport(t, "node", testKey)
+	qt.Check(t, node.Call(testContext(t), Peer{ControlAddress: l.Addr().String()}, "echo", ping{}, nil), qt.IsNotNil)
+	qt.Check(t, <-closed, qt.Equals, io.EOF)
+}
--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -270,7 +270,7 @@
 // dialClient opens connections. The address of a node may belong to something else by
 // now, whose answer can be of any kind and length.
 var dialClient = &http.Client{
-	Transport:     &http.Transport{MaxResponseHeaderBytes: maxHeadBytes},
+	Transport:     &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, DisableKeepAlives: true},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
