follow: the test of a slow candidate sets the order of events

Cause, in the test: it looked every 5 ms for a state that lasts 350 ms, from the end of the patience with the slow candidate to its answer. A test process that stands still for longer misses it. Shown by stopping the test process for 0.5 s, 0.30 or 0.35 s after its start: the same failure, 2 of 2 times.

Change: the slow candidate answers when the log says that the other one is in use, in place of 700 ms after the start, so that the state cannot be missed. The order is required as before. That the other one is used in time is now bounded by the probe of the slow one: if it were used later than 1 s after the start, the slow one's answer would come too late to be used.

Stopped for 0.5 s at 0.1 to 0.35 s: passes. With a search that waits for the slow candidate (a patience of 10 s) it fails, and so it does if the late answer does not end the outage.

--- a/gateway/follow/search_test.go
+++ b/gateway/follow/search_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"filbertmill.example/gateway/replica"
 	"filbertmill.example/platform"
@@ -67,17 +70,49 @@
 	qt.Check(t, f.lastPolled.IsZero(), qt.IsTrue)
 }
 
+// gatedListener accepts connections, and serves them once open is closed.
+type gatedListener struct {
+	net.Listener
+	open <-chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	<-l.open
+	return c, err
+}
+
+// onLine is a log output that passes on each line.
+type onLine func(line string)
+
+func (f onLine) Write(line []byte) (int, error) {
+	f(string(line))
+	return len(line), nil
+}
+
 // TestSlowCandidateIsUsedInTheEnd guards against nodes that disagree on the relays for
-// seconds, because one took a candidate that was slow to connect for lost.
+// seconds, because one took a candidate that was slow to connect for lost. The slow one
+// answers as soon as the other is in use, and no earlier.
 func TestSlowCandidateIsUsedInTheEnd(t *testing.T) {
 	f := newBareFollower(t, "self", "b")
 	f.cfg.Store = &slowWatchStore{delay: time.Minute}
+	otherInUse := make(chan struct{})
+	var once sync.Once
+	f.cfg.Log = hclog.New(&hclog.LoggerOptions{Output: onLine(func(line string) {
+		if strings.Contains(line, "relays in use") && strings.Contains(line, "rank1") {
+			once.Do(func() { close(otherInUse) })
+		}
+	})})
+	// A failed test, too, ends the connections that wait.
+	t.Cleanup(func() { once.Do(func() { close(otherInUse) }) })
+	alwaysOpen := make(chan struct{})
+	close(alwaysOpen)
 	var items []platform.Item
-	for i, delay := range []time.Duration{2 * probePatience, 0} {
+	for i, open := range []<-chan struct{}{otherInUse, alwaysOpen} {
 		node := newBareFollower(t, fmt.Sprintf("rank%d", i), "a")
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
-		go func() { _ = node.cfg.Transport.Serve(slowListener{l, delay}) }()
+		go func() { _ = node.cfg.Transport.Serve(gatedListener{l, open}) }()
 		n := replica.Node{Name: fmt.Sprintf("rank%d", i), AvailabilityZone: "a", ControlAddress: l.Addr().String(), CPUShare: float64(2 - i)}
 		items = append(items, platform.Item{Key: n.Key(), Value: n.Encode(), Revision: platform.Revision(i + 1)})
 	}
@@ -97,6 +132,10 @@
 			return len(relays) == 1 && relays[0].Name == name
 		}
 	}
-	await(t, "the candidate that answers is used", 2*probePatience, inUse("rank1"))
+	select {
+	case <-otherInUse:
+	case <-time.After(2 * probeTimeout):
+		t.Fatal("the candidate that answers is not used")
+	}
 	await(t, "the better one that was slow is used", probeTimeout, inUse("rank0"))
 }
