follow: an answer of a relay with another copy confirms nothing

Found on reading the comparison of copies again: the answer that says that two copies differ still confirmed the node's copy as of its time.

Change: it confirms nothing and brings nothing; a node whose copy stays different follows the store once its copy is too old.

TestDifferentCopyIsNotConfirmed failed before (a copy confirmed 0.2 s ago) and passes; TestWrongCopyIsReadAnew passes.

--- a/gateway/follow/check_test.go
+++ b/gateway/follow/check_test.go
@@ -1,10 +1,13 @@
 package follow
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"filbertmill.example/gateway/replica"
 )
 
@@ -44,3 +47,19 @@
 		})
 	}
 }
+
+// TestDifferentCopyIsNotConfirmed guards against a node that takes its copy for current by
+// the answer of a relay that has another one.
+func TestDifferentCopyIsNotConfirmed(t *testing.T) {
+	relay := serveRelay(t, func(ctx context.Context, _ changesRequest) changesReply {
+		sleep(ctx, seedTimeout)
+		return changesReply{Through: 5, Differs: true}
+	})
+	f := newBareFollower(t, "n1", "b")
+	f.cfg.Replica.Replace("test", nil, 5, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*seedTimeout)
+	defer cancel()
+	_ = f.pollRelay(ctx, relay, sameZoneWait)
+	qt.Check(t, f.CopyAge() >= neverConfirmed, qt.IsTrue, qt.Commentf("%s", f.CopyAge()))
+	qt.Check(t, f.mustRead(), qt.IsTrue, qt.Commentf("several answers said so"))
+}
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -60,11 +60,14 @@
 			return errLeaving
 		}
 		f.recordAnswer(n.Name, a.age)
-		if differences++; !a.differs {
-			differences = 0
-		} else if differences >= differencesToRead {
-			f.checkCopy(n.Name)
+		if a.differs {
+			// One of the copies is wrong, so that this one is not confirmed.
+			if differences++; differences >= differencesToRead {
+				f.checkCopy(n.Name)
+			}
+			continue
 		}
+		differences = 0
 		switch {
 		case !f.accepts(a):
 			sleep(ctx, seedTimeout)
