--- a/gateway/follow/firstpoll_test.go
+++ b/gateway/follow/firstpoll_test.go
@@ -54,7 +54,7 @@
 }
 
 // newBareFollower returns a Follower that is not running.
-func newBareFollower(t *testing.T, name, zone string) *Follower {
+func newBareFollower(t testing.TB, name, zone string) *Follower {
 	t.Helper()
 	transport, err := control.New(control.Config{Name: name, Key: []byte("0123456789abcdef")})
 	qt.Assert(t, err, qt.IsNil)
