--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -90,7 +90,8 @@
 	if decision.Target == "" {
 		res := attemptResult{result: refusedResult(decision.Reason, decision.RetryAfter), notRun: true, failed: true}
 		if decision.Reason == outcome.ReasonTooLate && n.workEnd(r.deadline).Before(r.deadline) {
-			res.result = refusedResult(outcome.ReasonShutdown, minRetryAfter) // another node has more time
+			// Only this node lacks the time, so that the caller need not wait.
+			res.result = refusedResult(outcome.ReasonShutdown, minRetryAfter)
 		}
 		res.home = decision.Home
 		return res
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -32,9 +32,10 @@
 	// node may exit early. Callers that the balancer sent to this node before it
 	// noticed the drain may still be about to send a request.
 	quietTime = 1200 * time.Millisecond
-	// unrepeatableFactor is how many times its usual duration work that must not be
-	// repeated has until the abort when it begins in a drain.
-	unrepeatableFactor = 2
+	// nonIdempotentFactor multiplies the usual duration of work that must not be
+	// repeated: it begins in a drain only if that much time is left. Its caller could
+	// not tell whether work that was aborted has been done.
+	nonIdempotentFactor = 2
 	// drainPollInterval is how often the node checks whether all requests are
 	// answered.
 	drainPollInterval = 20 * time.Millisecond
@@ -100,12 +101,11 @@
 	return deadline
 }
 
-// mayAbort reports whether a drain may abort work on a request that begins now and
-// usually takes the given time. If work that must not be repeated is aborted, the caller
-// cannot know whether it was done, so that it gets more time.
+// mayAbort reports whether a drain is likely to abort work on a request that begins now
+// and usually takes the given time.
 func (n *Node) mayAbort(r *request, usual time.Duration) bool {
 	if !r.idempotent {
-		usual *= unrepeatableFactor
+		usual *= nonIdempotentFactor
 	}
 	end := n.workEnd(r.deadline)
 	return end.Before(r.deadline) && time.Until(end) < usual
--- a/gateway/follow/check.go
+++ b/gateway/follow/check.go
@@ -13,12 +13,12 @@
 // others wrong. Neither node can know which one it is, so both read the store.
 
 const (
-	// differencesToRead is the number of answers in a row that say that the copies differ
-	// from which on a node reads the store. The relay reads it at the first, and is
-	// corrected by then if its copy is the wrong one.
+	// differencesToRead is the number of answers in a row that report a difference after
+	// which a node reads the store. The relay reads it after the first, so that a relay
+	// whose copy is wrong is corrected by then.
 	differencesToRead = 2
-	// checkedReadInterval is the least time between two reads of the store that are due
-	// to a difference.
+	// checkedReadInterval is the least time between two reads of the store that a node
+	// makes because of differences.
 	checkedReadInterval = 5 * time.Second
 )
 
