follow: a relay confirms no copy in the future

An age below 0 in a reply set a confirmation in the future: the node would have taken its copy for current until then and not read the store, whatever it missed.

Change: ages in a reply are at least 0.

FuzzReplyOfARelay: its new seed failed before (confirmed an hour ahead) and passes.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -116,14 +116,15 @@
 	if err != nil {
 		return answer{}, err
 	}
+	age := max(reply.Age, 0)
 	if reply.Through == 0 {
-		reply.Age = neverConfirmed // the relay has no copy that could be confirmed
+		age = neverConfirmed // the relay has no copy that could be confirmed
 	}
 	// The relay answered no earlier than this, whenever the answer is read.
 	answered := start.time().Add(min(reply.Held, time.Since(start.at)))
 	a := answer{
 		through: reply.Through, leaving: reply.Leaving, differs: reply.Differs,
-		age: reply.Age, confirmedAt: answered.Add(-reply.Age), unbrokenSince: answered.Add(-reply.Unbroken),
+		age: age, confirmedAt: answered.Add(-age), unbrokenSince: answered.Add(-max(reply.Unbroken, 0)),
 	}
 	// A relay of an earlier version does not mark its notices.
 	if !noticeOnly && !reply.Notice {
--- a/gateway/follow/fuzz_test.go
+++ b/gateway/follow/fuzz_test.go
@@ -23,6 +23,8 @@
 		{Changes: []platform.Item{a}, Through: 7, Snapshot: true, Age: time.Second},
 		{Changes: []platform.Item{{Key: a.Key, Revision: 9, Deleted: true}}, Through: 9, Lapsed: map[string]time.Duration{a.Key: time.Second}},
 		{Changes: []platform.Item{{Key: platform.ConfigurationKey, Value: []byte(`{"version":"00000001"}`), Revision: 9}}, Through: 9},
+		{Through: 9, Age: -time.Hour},
+		{Through: 9, Held: -time.Hour, Unbroken: -time.Hour},
 		{Through: 9, Leaving: true, Notice: true, Differs: true, Held: time.Second, Unbroken: time.Hour},
 	} {
 		data, err := cbor.Marshal(reply)
@@ -50,6 +52,7 @@
 			return
 		}
 		node.merge("relay", answer)
+		qt.Check(t, node.CopyAge() >= 0, qt.IsTrue, qt.Commentf("confirmed in %s", -node.CopyAge()))
 		after := node.cfg.Replica.View()
 		qt.Check(t, after.Config.Revision >= before.Config.Revision, qt.IsTrue)
 		qt.Check(t, after.Revision >= before.Revision, qt.IsTrue)
