docs: what the drain refuses when the duration is known

The test of late bookings runs with one node, which in a drain decides by itself and does not know yet how long they take.

--- a/integration/latework_test.go
+++ b/integration/latework_test.go
@@ -39,7 +39,8 @@
 	for range 3 * backends * slots {
 		conns = append(conns, f.dial(0))
 	}
-	// The home learns how long these bookings take.
+	// Once it drains, the only node decides by itself, and learns from the first of the
+	// late bookings how long they take.
 	qt.Assert(t, round("before", backends*slots), qt.DeepEquals, map[int]int{http.StatusOK: backends * slots})
 	qt.Assert(t, f.nodes[0].Terminate(), qt.IsNil)
 	time.Sleep(2200 * time.Millisecond)
