gateway/ingress, exchange/account: what callers hold is one account in bytes

Seen by callers: a process of 128 MB had 263 and 283 MB resident beside 1,200 callers that each sent 16,000 bytes of a legal head and stopped, and 143 MB beside 400 whole heads with as many fields as fit in.

Cause: only bodies were bounded in bytes, each class by a share of the memory of its own. The codec parses a head from its start for each piece that arrives and keeps every copy until the request ends; a field of four bytes takes 72 in each of four copies; a connection costs two stacks and the codec's buffers. None of it was counted, and the shares add up to more than there is once the process needs memory for its own configuration.

Change: exchange/account holds all classes (connections, requests, small and large bodies, answers) against one limit. Classes keep a reserve and may use what the others leave. If memory is short, growth waits, callers that have made no progress for 1 s give way, and after 1 to 2 s a request that is being read is refused with 503. Bytes read ahead behind a request in flight are counted too.

The limits of the classes of bodies stay as they were, as limits within the account. TestAnswerMemoryIsAShareOfTheHosts names the figure that the removed constant had.

They check that no request that was answered 408, 429 or 503 has run.

--- a/cmd/filbertmill/gateway.go
+++ b/cmd/filbertmill/gateway.go
@@ -53,15 +53,10 @@
 	return exitOK
 }
 
-// memoryLimitShare is the fraction of the process's memory that is set as the Go
-// runtime's memory limit. Near this limit the garbage collector runs more often, so
-// that memory it has not freed yet fits into the remaining fraction.
-const memoryLimitShare = 0.75
-
 // limitMemory sets the Go runtime's memory limit, unless GOMEMLIMIT sets it.
 func limitMemory(r platform.Resources) {
 	if r.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(r.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(gateway.RuntimeMemory(r))
 	}
 }
 
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -49,7 +49,7 @@
 // for each piece that arrives, and retains every copy.
 func readHead(src network.Reader, limit int) ([]byte, error) {
 	var head []byte
-	var scan headScan
+	var scan HeadScan
 	for {
 		if _, err := src.Peek(1); err != nil {
 			return nil, err
@@ -60,7 +60,7 @@
 		}
 		before := len(head)
 		head = append(head, piece...)
-		end := scan.end(head)
+		end := scan.End(head)
 		consumed := len(piece)
 		if end > 0 {
 			consumed = end - before
@@ -88,18 +88,18 @@
 	return bytes.Equal(head[:n], protocolPrefix[:n])
 }
 
-// headScan searches for the end of a head: the first empty line after a line that
+// HeadScan searches for the end of a head: the first empty line after a line that
 // is not empty.
-type headScan struct {
+type HeadScan struct {
 	// scanned is the offset at which the search continues, lineStart that of the
 	// current line. Begun is set once a line that is not empty was found.
 	scanned, lineStart int
 	begun              bool
 }
 
-// end returns the length of the head at the start of b, or 0 if b does not contain
+// End returns the length of the head at the start of b, or 0 if b does not contain
 // the end of the head. Between calls b may only grow.
-func (s *headScan) end(b []byte) int {
+func (s *HeadScan) End(b []byte) int {
 	for {
 		i := bytes.IndexByte(b[s.scanned:], '\n')
 		if i < 0 {
@@ -128,7 +128,7 @@
 	if err := checkFraming(head); err != nil {
 		return err
 	}
-	src := &headReader{b: head}
+	src := NewHeadReader(head)
 	if err := resp.ReadHeader(&r.Header, src); err != nil {
 		return errors.Wrapf(errHead, "%v", err)
 	}
@@ -212,11 +212,14 @@
 	return len(text) > 0
 }
 
-// headReader passes a head that has already been read to hertz's parser.
-type headReader struct{ b []byte }
+// HeadReader passes a head that has already been read to hertz's parsers.
+type HeadReader struct{ b []byte }
+
+// NewHeadReader returns a reader of a head, whose bytes the parsers may change.
+func NewHeadReader(head []byte) *HeadReader { return &HeadReader{b: head} }
 
 // Peek returns the next n bytes.
-func (r *headReader) Peek(n int) ([]byte, error) {
+func (r *HeadReader) Peek(n int) ([]byte, error) {
 	if n > len(r.b) {
 		return r.b, io.EOF
 	}
@@ -224,7 +227,7 @@
 }
 
 // Skip discards the next n bytes.
-func (r *headReader) Skip(n int) error {
+func (r *HeadReader) Skip(n int) error {
 	if n > len(r.b) {
 		return io.ErrUnexpectedEOF
 	}
@@ -233,13 +236,13 @@
 }
 
 // Len returns the number of bytes left.
-func (r *headReader) Len() int { return len(r.b) }
+func (r *HeadReader) Len() int { return len(r.b) }
 
 // Release does nothing, since the bytes belong to no shared buffer.
-func (r *headReader) Release() error { return nil }
+func (r *HeadReader) Release() error { return nil }
 
 // ReadByte reads the next byte.
-func (r *headReader) ReadByte() (byte, error) {
+func (r *HeadReader) ReadByte() (byte, error) {
 	b, err := r.ReadBinary(1)
 	if err != nil {
 		return 0, err
@@ -248,7 +251,7 @@
 }
 
 // ReadBinary reads the next n bytes.
-func (r *headReader) ReadBinary(n int) ([]byte, error) {
+func (r *HeadReader) ReadBinary(n int) ([]byte, error) {
 	b, err := r.Peek(n)
 	if err != nil {
 		return nil, err
--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/exchange"
+	"filbertmill.example/exchange/account"
 )
 
 const (
@@ -20,34 +21,34 @@
 // errBodyTooLarge is the error of a body that exceeds the limit.
 var errBodyTooLarge = errors.New("the body exceeds the limit")
 
-// readBody reads the body of a request whose header was read. It is held until the memory
-// is released. A body without a byte is nil.
-func (c *conn) readBody(r *protocol.Request, limit int) (*exchange.BufferedBody, *heldBody, error) {
+// errNoMemory is the error of a request whose reading was aborted since others need the
+// memory.
+var errNoMemory = account.ErrNoMemory
+
+// readBody reads the body of a request whose head was read. A body without a byte is nil.
+func (c *conn) readBody(r *protocol.Request, m *requestMemory, limit int) (*exchange.BufferedBody, error) {
 	length := r.Header.ContentLength()
 	if length == 0 || length == lengthNone {
-		return nil, nil, nil
+		return nil, nil
 	}
 	if limit > 0 && length > limit {
-		return nil, nil, errBodyTooLarge
+		return nil, errBodyTooLarge
 	}
 	if r.MayContinue() {
 		if err := c.sendContinue(); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
-	c.server.bodies.allow(limit)
-	held := c.server.bodies.newBody(func() { _ = c.socket.Conn.SetReadDeadline(pastDeadline) })
+	c.server.limitBodies(limit)
+	c.reading.Progress()
+	defer c.reading.EndWait()
 	src, end := c.bodySource(length)
-	segments, err := readSegments(src, held, length, limit)
+	segments, err := readSegments(src, m, length, limit)
 	end()
-	if aborted := held.finishReading(); aborted != nil {
-		err = aborted
-	}
 	if err != nil {
-		held.release()
-		return nil, nil, err
+		return nil, err
 	}
-	return exchange.NewBufferedBody(segments), held, nil
+	return exchange.NewBufferedBody(segments), nil
 }
 
 // Lengths that hertz reports for a body in chunks, and for a request without a body.
@@ -76,12 +77,12 @@
 	return src, func() {
 		beyond := append([]byte(nil), rest()...)
 		unread, _ := io.ReadAll(before) // reading from memory cannot fail
-		c.socket.buffered = append(append(beyond, unread...), c.socket.buffered...)
+		c.socket.putBack(append(beyond, unread...))
 	}
 }
 
 // readSegments reads a body to its end.
-func readSegments(src io.Reader, held *heldBody, length, limit int) ([][]byte, error) {
+func readSegments(src io.Reader, m *requestMemory, length, limit int) ([][]byte, error) {
 	var segments [][]byte
 	size, read := minSegmentBytes, 0
 	if length >= 0 && length <= smallBodyBytes {
@@ -91,11 +92,11 @@
 		if length >= 0 {
 			size = min(size, length-read)
 		}
-		if err := held.grow(int64(size)); err != nil {
+		if err := m.growBody(int64(size)); err != nil {
 			return nil, err
 		}
 		segment := make([]byte, size)
-		n, err := readFull(src, segment, held)
+		n, err := readFull(src, segment, m.holder)
 		read += n
 		if n > 0 {
 			segments = append(segments, segment[:n])
@@ -114,14 +115,14 @@
 	}
 }
 
-// readFull reads until p is full or a read fails, and tells the budget of the bytes.
-func readFull(src io.Reader, p []byte, held *heldBody) (int, error) {
+// readFull reads until p is full or a read fails, and records the caller's progress.
+func readFull(src io.Reader, p []byte, caller *account.Holder) (int, error) {
 	total := 0
 	for total < len(p) {
 		n, err := src.Read(p[total:])
 		total += n
 		if n > 0 {
-			held.feed()
+			caller.Progress()
 		}
 		if err != nil {
 			return total, err
@@ -130,6 +131,6 @@
 	return total, nil
 }
 
-// memoryRetryAfter is the Retry-After, in seconds, of a request that was refused while its
-// body was read.
+// memoryRetryAfter is the Retry-After, in seconds, of a request that was refused while it
+// was read.
 const memoryRetryAfter = "1"
--- a/gateway/ingress/closing.go
+++ b/gateway/ingress/closing.go
@@ -89,6 +89,9 @@
 func (c *conn) fail(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.memory.Aborted() {
+		c.setEnd(EndDisplaced)
+	}
 	c.setEnd(EndWriteFailed)
 	c.closing, c.writeErr = true, err
 	c.finished.Broadcast()
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -7,6 +7,8 @@
 
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"filbertmill.example/exchange/account"
 )
 
 const (
@@ -43,9 +45,15 @@
 	server *Server
 	socket *socket
 	// nc is the codec's connection on top of the socket.
-	nc     network.Conn
-	number uint64
-	queue  chan *pending
+	nc network.Conn
+	// reading holds the memory of the request that is being read, and readAhead of the
+	// bytes read ahead, in bytes. memory holds that of the connection itself, and of the
+	// requests in flight with their answers.
+	reading   *account.Holder
+	readAhead int64
+	memory    *account.Holder
+	number    uint64
+	queue     chan *pending
 
 	mu sync.Mutex
 	// unanswered holds the requests whose answers are not written yet, in order. The
@@ -82,8 +90,9 @@
 }
 
 func newConn(s *Server, sock *socket, nc network.Conn) *conn {
-	c := &conn{server: s, socket: sock, nc: nc, number: s.accepted.Add(1), queue: make(chan *pending, maxQueued), lastByte: time.Now(), opened: time.Now()}
+	c := &conn{server: s, socket: sock, memory: sock.memory, nc: nc, number: s.accepted.Add(1), queue: make(chan *pending, maxQueued), lastByte: time.Now(), opened: time.Now()}
 	c.finished = sync.NewCond(&c.mu)
+	c.reading = s.account.NewHolder(func() { _ = sock.Conn.SetReadDeadline(pastDeadline) })
 	return c
 }
 
--- a/gateway/ingress/ledger.go
+++ b/gateway/ingress/ledger.go
@@ -20,8 +20,8 @@
 	// and WriteBegun when the writing of the answer began. Each is zero until then.
 	Received, Ready, WriteBegun time.Time
 
-	// held is the memory of its body; nil if there is none.
-	held *heldBody
+	// held is its memory; nil if there is none.
+	held *requestMemory
 }
 
 // Fate is the outcome of a request that was read.
--- a/gateway/ingress/read.go
+++ b/gateway/ingress/read.go
@@ -9,10 +9,7 @@
 
 	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cockroachdb/errors"
-
-	"filbertmill.example/exchange/hop"
 )
 
 // readRequests reads requests and hands them to the Handler until the connection
@@ -32,12 +29,12 @@
 
 // readRequest reads one request. It returns the status of the answer if the request
 // could not be read, and a nil request and status 0 if the connection has ended.
-func (c *conn) readRequest() (_ *Request, status int) {
+func (c *conn) readRequest() (request *Request, status int) {
 	onPanic := http.StatusInternalServerError
 	defer func() {
 		if v := recover(); v != nil {
 			_ = c.reportPanic(RequestRecord{Connection: c.number, Received: time.Now()}, v)
-			status = onPanic
+			request, status = nil, onPanic
 		}
 	}()
 	if !c.awaitRequest() {
@@ -50,28 +47,40 @@
 	}
 	// Bytes that the codec cannot parse are a bad request, even if it panics on them.
 	onPanic = http.StatusBadRequest
-	r := protocol.Request{}
-	if err := req.ReadHeaderWithLimit(&r.Header, c.nc, limits.HeaderBytes); err != nil {
-		return nil, headerStatus(err)
-	}
-	if err := hop.CheckFraming(&r.Header); err != nil {
-		return nil, http.StatusBadRequest
+	memory := newRequestMemory(c.reading)
+	defer func() {
+		if status != 0 || request == nil {
+			memory.release()
+		}
+	}()
+	r := &protocol.Request{}
+	if err := c.readHead(r, memory, limits.HeaderBytes); err != nil {
+		return nil, c.status(headerStatus(err))
 	}
 	c.setReadDeadline(bodyTimeout)
-	body, held, err := c.readBody(&r, limits.BodyBytes)
+	body, err := c.readBody(r, memory, limits.BodyBytes)
+	if err == nil {
+		err = memory.moveTo(c.memory)
+	}
 	if err != nil {
-		return nil, bodyStatus(err)
+		return nil, c.status(bodyStatus(err))
 	}
-	// The request refers to the connection's buffers, which endRead recycles.
-	own := &protocol.Request{}
-	r.CopyTo(own)
 	if b, whole := body.Bytes(); whole {
-		own.SetBodyRaw(b)
+		r.SetBodyRaw(b)
 	}
 	c.endRead()
 	c.server.noteArrival()
 	c.server.countRead()
-	return &Request{Request: own, Content: body, Received: time.Now(), held: held}, 0
+	return &Request{Request: r, Content: body, Received: time.Now(), held: memory, memory: c.memory}, 0
+}
+
+// status returns the status with which a request is answered that could not be read: the
+// given one, unless the reading was aborted since memory is short.
+func (c *conn) status(other int) int {
+	if c.reading.Aborted() {
+		return http.StatusServiceUnavailable
+	}
+	return other
 }
 
 // headerStatus returns the status with which an unreadable header is answered, or 0
@@ -80,6 +89,8 @@
 	switch {
 	case errors.Is(err, herrors.ErrHeaderTooLarge):
 		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errNoMemory):
+		return http.StatusServiceUnavailable
 	case isTimeout(err):
 		return http.StatusRequestTimeout
 	case isGone(err):
@@ -143,6 +154,7 @@
 	c.lastByte = time.Now()
 	_ = c.nc.SetReadDeadline(time.Time{})
 	_ = c.nc.Release()
+	c.chargeReadAhead(0)
 }
 
 func isTimeout(err error) bool {
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/exchange"
+	"filbertmill.example/exchange/account"
 )
 
 // Before the listener closes, it accepts the connections that wait in its backlog:
@@ -41,10 +42,15 @@
 	Content *exchange.BufferedBody
 	// Received is the time at which its last byte was read.
 	Received time.Time
-	// held is the memory of the body; nil if there is none.
-	held *heldBody
+	// held is its memory; nil if there is none.
+	held   *requestMemory
+	memory *account.Holder
 }
 
+// Memory returns the Holder of what waits for the caller to read, such as the answer. It is
+// nil if the memory is not limited.
+func (r *Request) Memory() *account.Holder { return r.memory }
+
 // Handler answers requests. It may be called concurrently, also for requests of
 // one connection.
 type Handler interface {
@@ -62,13 +68,16 @@
 type Server struct {
 	handler  Handler
 	observer Observer
-	// bodies limits the memory of the bodies of requests.
-	bodies    *bodyBudget
-	counters  counters
-	accepted  atomic.Uint64
-	listener  listener
-	transport network.Transporter
-	draining  atomic.Bool
+	// account limits the memory that callers hold, and memoryBytes is that of the process.
+	// largestBody is the largest size of a body, in bytes, for which it has room.
+	account     *account.Account
+	memoryBytes int64
+	largestBody atomic.Int64
+	counters    counters
+	accepted    atomic.Uint64
+	listener    listener
+	transport   network.Transporter
+	draining    atomic.Bool
 	// handlerRefuses is set once the Handler refuses every request that is read.
 	handlerRefuses atomic.Bool
 	// closingIdle is set once idle connections are to be closed.
@@ -103,6 +112,8 @@
 type Resources struct {
 	// MemoryBytes is the memory of the process.
 	MemoryBytes int64
+	// Account limits what callers hold of it.
+	Account *account.Account
 	// Connections is the largest number of open connections.
 	Connections int
 }
@@ -115,8 +126,16 @@
 	}
 	s := &Server{
 		handler: h, observer: o, listener: listener{l.(*net.TCPListener)}, writeTimeout: writeTimeout, conns: make(map[*conn]bool),
-		bodies: newBodyBudget(limits.MemoryBytes), maxConns: limits.Connections, stopped: make(chan struct{}), socketClosed: make(chan struct{}, 1), created: time.Now(),
+		memoryBytes: limits.MemoryBytes, account: limits.Account, maxConns: limits.Connections, stopped: make(chan struct{}), socketClosed: make(chan struct{}, 1), created: time.Now(),
+	}
+	if s.memoryBytes <= 0 {
+		s.memoryBytes = defaultMemoryBytes
 	}
+	if s.account == nil {
+		_, s.account = account.NewRoom(s.memoryBytes)
+	}
+	s.largestBody.Store(-1)
+	s.limitBodies(0)
 	s.transport = standard.NewTransporter(&config.Options{Listener: s.listener, Network: "tcp", Addr: address, OnAccept: s.onAccept})
 	return s, nil
 }
@@ -238,7 +257,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.openSockets++
-	if s.maxConns > 0 && s.openSockets > s.maxConns {
+	sock := c.(*socket)
+	sock.memory = s.account.NewHolder(func() { _ = sock.Conn.Close() })
+	spare := sock.memory.TryGrow(account.Connections, connectionBytes)
+	if !spare {
+		sock.memory.Add(account.Connections, connectionBytes)
+	}
+	if !spare || s.maxConns > 0 && s.openSockets > s.maxConns {
 		s.makeRoom(c)
 	}
 	return withSocket(c)
@@ -247,6 +272,8 @@
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.reading.Close()
+	c.memory.Close()
 	delete(s.conns, c)
 	s.openSockets--
 	select {
--- a/gateway/ingress/socket.go
+++ b/gateway/ingress/socket.go
@@ -4,11 +4,14 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/exchange/account"
 )
 
 // socket is a caller's TCP connection below the codec's buffers. It gives access to
@@ -18,6 +21,8 @@
 	net.Conn
 	tcp *net.TCPConn
 	raw syscall.RawConn
+	// memory holds what waits for the caller to read.
+	memory *account.Holder
 	// buffered holds bytes read before the codec asked for them. Only the reading
 	// goroutine uses it.
 	buffered []byte
@@ -35,17 +40,26 @@
 // within n / minWriteProgress + 1 write timeouts or is abandoned.
 const minWriteProgress = 16 << 10
 
+// maxWrite is the largest number of bytes that are written at once, so that the progress of
+// a caller that reads slowly is seen.
+const maxWrite = 64 << 10
+
 // Write implements net.Conn. It continues after a timeout if the caller has accepted
 // at least minWriteProgress bytes since the last one.
 func (s *socket) Write(b []byte) (int, error) {
+	s.memory.Progress()
+	defer s.memory.EndWait()
 	written := 0
 	for {
 		if err := s.Conn.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err != nil {
 			return written, err
 		}
-		n, err := s.Conn.Write(b[written:])
+		n, err := s.Conn.Write(b[written:min(written+maxWrite, len(b))])
 		written += n
-		if err == nil || !isTimeout(err) || n < minWriteProgress {
+		if n > 0 {
+			s.memory.Progress()
+		}
+		if err != nil && (!isTimeout(err) || n < minWriteProgress) || written == len(b) {
 			return written, err
 		}
 	}
@@ -67,11 +81,22 @@
 	return n, err
 }
 
+// putBack puts bytes before those that the next Read returns.
+func (s *socket) putBack(b []byte) {
+	if len(b) > 0 {
+		s.buffered = slices.Concat(b, s.buffered)
+	}
+}
+
+// readAheadBytes is the number of bytes that are read ahead at once.
+const readAheadBytes = 4 << 10
+
 // readAhead waits for bytes and keeps them for the next Read.
 func (s *socket) readAhead() error {
-	var b [4 << 10]byte
-	n, err := s.Conn.Read(b[:])
-	s.buffered = append(s.buffered, b[:n]...)
+	s.buffered = slices.Grow(s.buffered, readAheadBytes)
+	kept := len(s.buffered)
+	n, err := s.Conn.Read(s.buffered[kept : kept+readAheadBytes])
+	s.buffered = s.buffered[:kept+n]
 	return err
 }
 
--- a/gateway/ingress/turn.go
+++ b/gateway/ingress/turn.go
@@ -3,19 +3,35 @@
 import (
 	"net"
 	"time"
+
+	"filbertmill.example/exchange/account"
 )
 
 // maxReadAhead limits the bytes read ahead while a request waits for its turn. The
 // disconnect of a caller that sends more is not detected until the turn has come.
 const maxReadAhead = 64 << 10
 
+// chargeReadAhead accounts for the bytes read ahead and for extra bytes to be read. It
+// returns false if there is no memory for them.
+func (c *conn) chargeReadAhead(extra int) bool {
+	need := 2 * int64(len(c.socket.buffered)+extra) // the buffer grows by copying
+	if need > c.readAhead && !c.reading.TryGrow(account.Requests, need-c.readAhead) {
+		return false
+	}
+	if need < c.readAhead {
+		c.reading.Release(account.Requests, c.readAhead-need)
+	}
+	c.readAhead = need
+	return true
+}
+
 // awaitTurn waits until ready returns true; ready is called again after each answer.
 // It returns false if the connection accepts no more requests or the caller has
 // disconnected. It reads ahead in the meantime, because only a read detects a
 // disconnect. It must be called by the reader, with mu held.
 func (c *conn) awaitTurn(ready func() bool) bool {
 	for !c.closing && !c.callerGone && !ready() {
-		if len(c.socket.buffered) >= maxReadAhead {
+		if len(c.socket.buffered) >= maxReadAhead || !c.chargeReadAhead(readAheadBytes) {
 			c.finished.Wait()
 			continue
 		}
@@ -42,6 +58,7 @@
 	if !turn {
 		return net.ErrClosed
 	}
+	c.reading.Progress()
 	if _, err := c.nc.WriteBinary([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 		return err
 	}
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -6,6 +6,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"filbertmill.example/exchange"
+	"filbertmill.example/exchange/account"
 	"filbertmill.example/gateway/ingress"
 	"filbertmill.example/platform"
 )
@@ -16,17 +17,30 @@
 	// small to be counted, the node's own state, and memory that the garbage
 	// collector has yet to free.
 	answerMemoryDivisor = 4
-	// defaultAnswerBytes is the limit for answers if the memory of the process is
-	// not configured.
-	defaultAnswerBytes = 64 << 20
+	// defaultMemoryBytes stands for the memory of the process if it is not configured.
+	defaultMemoryBytes = 256 << 20
+	// runtimeShare is the fraction of the process's memory that is set as the Go
+	// runtime's memory limit. Near this limit the garbage collector runs more often, so
+	// that memory it has not freed yet fits into the remaining fraction.
+	runtimeShare = 0.75
 )
 
-// answerMemory returns the memory budget for answers on a host.
-func answerMemory(r platform.Resources) *exchange.MemoryBudget {
+// memoryBytes returns the memory of the process.
+func memoryBytes(r platform.Resources) int64 {
 	if r.MemoryMB <= 0 {
-		return exchange.NewMemoryBudget(defaultAnswerBytes)
+		return defaultMemoryBytes
 	}
-	return exchange.NewMemoryBudget(int64(r.MemoryMB) << 20 / answerMemoryDivisor)
+	return int64(r.MemoryMB) << 20
+}
+
+// RuntimeMemory returns the memory that the Go runtime should use on a host, in bytes.
+func RuntimeMemory(r platform.Resources) int64 {
+	return int64(runtimeShare * float64(memoryBytes(r)))
+}
+
+// answerMemory returns the memory budget for answers on a host.
+func answerMemory(r platform.Resources) *exchange.MemoryBudget {
+	return exchange.NewMemoryBudget(memoryBytes(r) / answerMemoryDivisor)
 }
 
 // answerReservations holds the memory reservations of the answers to one request.
@@ -80,9 +94,10 @@
 const callerDescriptorShare = 0.7
 
 // callerResources returns what the connections of callers may use on a host.
-func callerResources(r platform.Resources) ingress.Resources {
+func callerResources(r platform.Resources, callers *account.Account) ingress.Resources {
 	return ingress.Resources{
-		MemoryBytes: int64(r.MemoryMB) << 20,
+		MemoryBytes: memoryBytes(r),
+		Account:     callers,
 		Connections: int(callerDescriptorShare * float64(r.MaxDescriptors)),
 	}
 }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -12,7 +12,7 @@
 
 func TestAnswerMemoryIsAShareOfTheHosts(t *testing.T) {
 	qt.Check(t, answerMemory(platform.Resources{MemoryMB: 184}).Use().Limit, qt.Equals, int64(46<<20))
-	qt.Check(t, answerMemory(platform.Resources{}).Use().Limit, qt.Equals, int64(defaultAnswerBytes))
+	qt.Check(t, answerMemory(platform.Resources{}).Use().Limit, qt.Equals, int64(64<<20))
 }
 
 // TestDeliveredRequestHoldsNoAnswerMemory checks that the memory of answers is
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"filbertmill.example/exchange"
+	"filbertmill.example/exchange/account"
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/gateway/balance"
 	"filbertmill.example/gateway/follow"
@@ -57,6 +58,8 @@
 	// quotas admits requests within the quotas of their workspaces.
 	quotas  *quota.Client
 	targets *exchange.Client
+	// room limits the memory that callers hold to what the node itself leaves.
+	room *account.Room
 	// memory limits the memory of answers. answerReservations maps the
 	// *protocol.Request of each request in flight to its *answerReservations.
 	memory             *exchange.MemoryBudget
@@ -92,9 +95,12 @@
 		unreachable: newUnreachableTargets(),
 		pauses:      newTargetPauses(),
 		abort:       make(chan struct{}),
-		memory:      answerMemory(settings.Resources),
 		adviceLog:   rate.Sometimes{First: 3, Interval: adviceLogInterval},
 	}
+	var callers *account.Account
+	n.room, callers = account.NewRoom(RuntimeMemory(settings.Resources))
+	n.room.Watch()
+	n.memory = answerMemory(settings.Resources)
 	n.runNumber = rand.Uint64()
 	n.runID = settings.Name + "/" + strconv.FormatUint(n.runNumber, 36)
 	n.store = platform.NewClient(settings.StoreAddress, n.stats.countStoreCall)
@@ -106,7 +112,7 @@
 		return nil, err
 	}
 	var err error
-	if n.callers, err = ingress.Listen(settings.CallerAddress, n, n, callerResources(settings.Resources)); err != nil {
+	if n.callers, err = ingress.Listen(settings.CallerAddress, n, n, callerResources(settings.Resources, callers)); err != nil {
 		return nil, err
 	}
 	if n.control, err = net.Listen("tcp", settings.ControlAddress); err != nil {
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -127,6 +127,7 @@
 // the numbers of targets by state.
 func (n *Node) publishState() {
 	expvar.Publish("answer_memory", expvar.Func(func() any { return n.memory.Use() }))
+	expvar.Publish("caller_memory", expvar.Func(func() any { return n.room.Usage() }))
 	expvar.Publish("caller_body_memory", expvar.Func(func() any { return n.callers.BodyMemory() }))
 	expvar.Publish("caller_connections_displaced", expvar.Func(func() any { return n.callers.Displaced() }))
 	expvar.Publish("configuration", expvar.Func(func() any {
--- /dev/null
+++ b/integration/crowdkinds_test.go
@@ -0,0 +1,197 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/platform"
+	"filbertmill.example/testbed/backend"
+	"filbertmill.example/testbed/process"
+)
+
+// The crowds of these tests hold memory otherwise than by bodies: by heads and by requests
+// behind others.
+const (
+	// manyDescriptors allows for more callers than crowdDescriptors, in the same memory.
+	manyDescriptors = 2048
+	// headLimit is the largest legal head, which the configuration sets; longHead is
+	// somewhat less.
+	headLimit = 16384
+	longHead  = 16000
+)
+
+// mixedCrowd is a crowd of more callers, whose answers are compared with what the targets
+// ran.
+type mixedCrowd struct {
+	*crowd
+	sent sync.Mutex
+	// requests holds the ids of the requests that were sent on each connection, in order.
+	requests map[net.Conn][]string
+}
+
+func startMixedCrowd(t *testing.T, change func(*process.Gateway)) *mixedCrowd {
+	t.Helper()
+	f := startGatewayFleetWith(t, 1, 4, func(g *process.Gateway) {
+		g.MemoryMB, g.MaxDescriptors = crowdMemoryMB, manyDescriptors
+		change(g)
+	})
+	f.maxBodyBytes = crowdBody
+	f.configure(1500*time.Millisecond, `{"name":"limit","kind":"safe","match":{"prefix":"/limit/"},"action":{"service":"look","timeout-s":1}}`)
+	f.await("the limit is in force", 5*time.Second, func() bool { return f.send(0, "GET", "limit", "warm4").StatusCode == 200 })
+	m := &mixedCrowd{crowd: &crowd{gatewayFleet: f}, requests: make(map[net.Conn][]string)}
+	t.Cleanup(func() {
+		for _, conn := range m.open {
+			_ = conn.Close()
+		}
+	})
+	return m
+}
+
+// write sends the head and the body of a request and records its id.
+func (m *mixedCrowd) write(conn net.Conn, id, head string, body []byte) error {
+	m.sent.Lock()
+	m.requests[conn] = append(m.requests[conn], id)
+	m.sent.Unlock()
+	if _, err := io.WriteString(conn, head); err != nil {
+		return err
+	}
+	_, err := conn.Write(body)
+	return err
+}
+
+// lines returns a request's head without the empty line at its end.
+func lines(method, route, id string, more ...string) string {
+	return fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: g.example\r\n%s: %s\r\n%s: 1500\r\n%s",
+		method, route, platform.HeaderRequestID, id, platform.HeaderTimeLeft, strings.Join(append(more, ""), "\r\n"))
+}
+
+// pad returns text of the given length, in lines of headers.
+func pad(length int) string {
+	line := "X-Pad: " + strings.Repeat("p", 500) + "\r\n"
+	return strings.Repeat(line, length/len(line)+1)[:length]
+}
+
+// check checks what crowd.check does, with more descriptors, and that no request that was
+// refused has run.
+func (m *mixedCrowd) check(t *testing.T) {
+	t.Helper()
+	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.nodes[0].PID()))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(descriptors) <= manyDescriptors, qt.IsTrue, qt.Commentf("%d descriptors, %d allowed", len(descriptors), manyDescriptors))
+	m.await("an ordinary request is answered", 30*time.Second, func() bool {
+		return m.send(0, "POST", "book", fmt.Sprintf("ordinary-%d", time.Now().UnixNano())).StatusCode == 200
+	})
+	peak := residentPeak(qt.New(t), m.nodes[0]) >> 20
+	qt.Check(t, peak <= crowdMemoryMB, qt.IsTrue, qt.Commentf("resident at most %d MB, %d allowed", peak, crowdMemoryMB))
+	t.Logf("resident at most %d MB, %d descriptors", peak, len(descriptors))
+	m.checkOnce()
+	m.checkRefusals(t)
+}
+
+// checkRefusals reads the answers of the crowd's callers and checks that no target ran a
+// request that was answered with 408, 429 or 503.
+func (m *mixedCrowd) checkRefusals(t *testing.T) {
+	t.Helper()
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	refused := make(map[string]int)
+	var all sync.WaitGroup
+	for conn, ids := range m.requests {
+		all.Go(func() {
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			r := bufio.NewReader(conn)
+			for _, id := range ids {
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					return
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				mu.Lock()
+				statuses[resp.StatusCode]++
+				switch resp.StatusCode {
+				case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+					refused[id] = resp.StatusCode
+				}
+				mu.Unlock()
+				if err != nil || resp.Close {
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	t.Logf("answers by status: %v", statuses)
+	for _, run := range m.ledger.Runs() {
+		status, ok := refused[run.Request]
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("%s was answered %d and ran", run.Request, status))
+	}
+}
+
+// sendHead sends a head of longHead bytes that does not end, in pieces.
+func (m *mixedCrowd) sendHead(conn net.Conn, caller int) error {
+	const pieces = 4
+	id := fmt.Sprintf("head-%d", caller)
+	head := lines("POST", "book", id)
+	head += pad(longHead - len(head))
+	if err := m.write(conn, id, head[:len(head)/pieces], nil); err != nil {
+		return err
+	}
+	for i := 1; i < pieces; i++ {
+		time.Sleep(50 * time.Millisecond)
+		if _, err := io.WriteString(conn, head[i*len(head)/pieces:(i+1)*len(head)/pieces]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TestCrowdOfHeads guards against a process that ends since many callers send legal heads
+// and stop short of their end.
+func TestCrowdOfHeads(t *testing.T) {
+	m := startMixedCrowd(t, func(*process.Gateway) {})
+	m.sendAll(1200, m.sendHead)
+	m.check(t)
+}
+
+// TestCrowdOfManyFields guards against a process that ends since many callers send whole
+// heads of legal size with as many fields as fit in, and wait for the answer.
+func TestCrowdOfManyFields(t *testing.T) {
+	m := startMixedCrowd(t, func(*process.Gateway) {})
+	m.sendAll(400, func(conn net.Conn, caller int) error {
+		id := fmt.Sprintf("fields-%d", caller)
+		head := lines("POST", "book", id, backend.HeaderWork+": 1s", "Content-Length: 0")
+		head += strings.Repeat("a:\r\n", (longHead-len(head))/4) + "\r\n"
+		return m.write(conn, id, head, nil)
+	})
+	m.check(t)
+}
+
+// TestCrowdOfRequestsBehind guards against a process that ends since many callers send
+// further requests, with bodies, behind one that takes its time.
+func TestCrowdOfRequestsBehind(t *testing.T) {
+	m := startMixedCrowd(t, func(*process.Gateway) {})
+	body := bytes.Repeat([]byte{'b'}, 60000)
+	m.sendAll(600, func(conn net.Conn, caller int) error {
+		for i := range 20 {
+			id := fmt.Sprintf("behind-%d-%d", caller, i)
+			head := lines("POST", "book", id, backend.HeaderWork+": 1s", fmt.Sprintf("Content-Length: %d", len(body))) + "\r\n"
+			_ = conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			if err := m.write(conn, id, head, body); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	m.check(t)
+}
