exchange, gateway/ingress: connections keep no message that was written

Seen: in a crowd of 600 callers that do not read, 32 of 48 MB of live objects were answers that had been written and delivered (heap profile; trial).

Cause: the codec's connection refers to what is written if it is 4 KiB or more, and keeps the last such piece until something else is written. An idle connection of a caller so keeps its last answer, and one to a target its last request.

Change: DirectWriter passes large pieces to the socket, and keeps none. As before, they are written by a call of their own.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -268,7 +268,7 @@
 		src = &requestBodyReader{src: r.BodyStream(), cn: cn}
 		r.SetBodyStream(src, r.Header.ContentLength())
 	}
-	err := req.Write(r, cn)
+	err := req.Write(r, DirectWriter{cn.Conn})
 	if err == nil {
 		err = cn.Flush()
 	}
--- a/gateway/ingress/write.go
+++ b/gateway/ingress/write.go
@@ -6,6 +6,8 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"filbertmill.example/exchange"
 )
 
 // writeAnswers writes the answers in order. If a write fails, it cancels the
@@ -45,7 +47,7 @@
 	if p.Request != nil && p.Request.Header.IsHead() {
 		r.SkipBody = true
 	}
-	err = resp.Write(r, c.nc)
+	err = resp.Write(r, exchange.DirectWriter{Conn: c.nc})
 	if err == nil {
 		err = c.nc.Flush()
 	}
