exchange, gateway: answers that wait for their callers are in the account

Seen by callers: a process of 128 MB had 484 MB resident beside 600 callers that each sent 100 requests on one connection for answers of 60,000 bytes and read none, 148 MB beside 300 callers with answers of 1 MiB, and 321 MB beside 1,200 callers of several kinds: large and small bodies, heads, unread answers.

Cause: answers up to 64 KiB were bounded by counts only, eight on each connection; large ones by a budget of their own, from which a caller that does not read never gave anything back, so that answers of others were aborted instead. What each kind held was not seen by the other kinds.

Change: answers of any size count in the account until their caller has them. Small ones wait for memory until the request's deadline. Large ones keep their budget, but an answer waits for callers that do not read before another answer is aborted. On a connection with 256 KiB of answers unread, no further request is read.

TestAnswersWaitForCallersThatDoNotRead shows the order without a network.

--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -2,16 +2,26 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/exchange/account"
 )
 
 const (
 	// exemptBytes is the size up to which an answer is not counted against the
-	// memory budget: small answers succeed whatever large ones use.
+	// memory budget: small answers succeed whatever large ones use. They count against
+	// the account of callers, if there is one, as a class of their own.
 	exemptBytes = 64 << 10
+	// stallWait is how long a large answer waits for memory that callers hold who do not
+	// read, before another answer is aborted. accountCheck is the interval at which it
+	// looks for it.
+	stallWait    = 1500 * time.Millisecond
+	accountCheck = 100 * time.Millisecond
 	// A body is buffered in segments, each twice as large as the one before, up
 	// to maxSegmentBytes. Nothing is copied as the body grows, and at most
 	// maxSegmentBytes of an answer's memory is unused.
@@ -25,10 +35,12 @@
 // A MemoryBudget is safe for concurrent use.
 type MemoryBudget struct {
 	limit int64
+	// account also limits the answers that wait for their callers; nil does not.
+	account *account.Account
 
 	mu sync.Mutex
-	// changed is signalled when memory is released or an answer is aborted.
-	changed *sync.Cond
+	// changed is closed and replaced when memory is released or an answer is aborted.
+	changed chan struct{}
 	used    int64
 	peak    int64
 	ended   int64
@@ -40,8 +52,15 @@
 
 // NewMemoryBudget returns a MemoryBudget with a limit in bytes.
 func NewMemoryBudget(limit int64) *MemoryBudget {
-	m := &MemoryBudget{limit: limit, reading: make(map[*Reservation]struct{})}
-	m.changed = sync.NewCond(&m.mu)
+	return &MemoryBudget{limit: limit, reading: make(map[*Reservation]struct{}), changed: make(chan struct{})}
+}
+
+// NewSharedMemoryBudget returns a MemoryBudget whose answers also count as memory that
+// callers hold.
+func NewSharedMemoryBudget(limit int64, a *account.Account) *MemoryBudget {
+	m := NewMemoryBudget(limit)
+	m.account = a
+	a.SetMax(account.LargeAnswers, limit)
 	return m
 }
 
@@ -65,8 +84,13 @@
 // be called once the answer is no longer needed; it may be called more than once.
 type Reservation struct {
 	budget *MemoryBudget
-	// The fields below are guarded by budget.mu. Interrupt makes the reading of the
-	// answer fail.
+	// caller holds the answer in the account; nil if there is none. ctx ends the wait for
+	// memory of the account.
+	caller *account.Holder
+	ctx    context.Context
+	// The fields below are guarded by budget.mu. Small is the memory that only the account
+	// counts. Interrupt makes the reading of the answer fail.
+	small     int64
 	held      int64
 	evicted   bool
 	released  bool
@@ -74,34 +98,98 @@
 }
 
 // NewReservation returns a Reservation that uses no memory yet.
-func (m *MemoryBudget) NewReservation() *Reservation { return &Reservation{budget: m} }
+func (m *MemoryBudget) NewReservation() *Reservation { return m.NewReservationFor(nil) }
+
+// NewReservationFor returns a Reservation of an answer to a caller. The caller may be nil.
+func (m *MemoryBudget) NewReservationFor(caller *account.Holder) *Reservation {
+	if m.account == nil {
+		caller = nil
+	}
+	return &Reservation{budget: m, caller: caller, ctx: context.Background()}
+}
 
 // grow raises the memory that the answer uses to size bytes in total. While the
 // budget is used up, it aborts the largest answer and waits for the release of its
 // memory. It fails if this answer itself is aborted.
 func (r *Reservation) grow(size int64, interrupt func()) error {
 	if size <= exemptBytes {
-		return nil
+		return r.growSmall(size)
 	}
 	m := r.budget
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r.interrupt = interrupt
 	m.reading[r] = struct{}{}
-	for !r.evicted && m.used+size-r.held > m.limit {
-		if m.evicting == 0 {
+	for began := time.Now(); !r.evicted && !r.take(size); {
+		switch {
+		case m.evicting > 0:
+			m.wait(r.ctx, nil)
+		case r.caller != nil && time.Since(began) < stallWait && r.ctx.Err() == nil && m.account.Expects(account.LargeAnswers, size-r.held):
+			m.wait(r.ctx, time.After(accountCheck))
+		default:
 			m.evict(m.largest(r, size))
-			continue
 		}
-		m.changed.Wait()
 	}
 	if r.evicted {
 		return errMemory
 	}
+	return nil
+}
+
+// growSmall raises the memory of an answer that the budget does not count.
+func (r *Reservation) growSmall(size int64) error {
+	if r.caller == nil {
+		return nil
+	}
+	if err := r.caller.Grow(r.ctx, account.SmallAnswers, size-r.small); err != nil {
+		return errors.Wrapf(errMemory, "%v", err)
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if r.released {
+		r.caller.Release(account.SmallAnswers, size-r.small)
+		return errMemory
+	}
+	r.small = size
+	return nil
+}
+
+// take raises the memory to size bytes if there is some. It must be called with mu held.
+func (r *Reservation) take(size int64) bool {
+	m := r.budget
+	if m.used+size-r.held > m.limit {
+		return false
+	}
+	if r.caller != nil {
+		if !r.caller.TryGrow(account.LargeAnswers, size-r.held) {
+			return false
+		}
+		r.caller.Release(account.SmallAnswers, r.small)
+		r.small = 0
+	}
 	m.used += size - r.held
 	r.held = size
 	m.peak = max(m.peak, m.used)
-	return nil
+	return true
+}
+
+// wait waits until memory is released, the context ends or the time has come. It must be
+// called with mu held.
+func (m *MemoryBudget) wait(ctx context.Context, until <-chan time.Time) {
+	changed := m.changed
+	m.mu.Unlock()
+	defer m.mu.Lock()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	case <-until:
+	}
+}
+
+// announce wakes those who wait for memory. It must be called with mu held.
+func (m *MemoryBudget) announce() {
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // largest returns the largest answer that is being read. Growing counts with the
@@ -121,7 +209,7 @@
 	m.evicting++
 	m.ended++
 	r.interrupt()
-	m.changed.Broadcast()
+	m.announce()
 }
 
 // finishReading records that the answer has been read completely, after which it
@@ -150,7 +238,11 @@
 	if r.evicted {
 		m.evicting--
 	}
-	m.changed.Broadcast()
+	if r.caller != nil {
+		r.caller.Release(account.SmallAnswers, r.small)
+		r.caller.Release(account.LargeAnswers, r.held)
+	}
+	m.announce()
 }
 
 // BufferedBody is a body in memory that was received to its end. Its methods accept nil
@@ -220,13 +312,13 @@
 // is a *Failure; r is then already released.
 func (b *Body) ReadAll(r *Reservation) (*BufferedBody, error) {
 	buf := &BufferedBody{}
-	b.reservation = r
+	b.reservation, r.ctx = r, b.ctx
 	err := b.fill(buf, r)
 	if err == nil {
 		return buf, nil
 	}
-	if r.finishReading() != nil {
-		// The reading failed because the answer was aborted to free memory.
+	if r.finishReading() != nil || errors.Is(err, errMemory) {
+		// The reading failed because the answer was aborted to free memory, or got none.
 		err = b.failWith(errors.Wrapf(errMemory, "%d bytes read", b.read))
 	}
 	r.Release()
--- a/exchange/memory_test.go
+++ b/exchange/memory_test.go
@@ -8,11 +8,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	qt "github.com/frankban/quicktest"
 
+	"filbertmill.example/exchange/account"
 	"filbertmill.example/testbed/endless"
 )
 
@@ -167,3 +169,44 @@
 	c.Check(got, qt.Equals, "whole")
 	c.Check(s.conns, qt.HasLen, 1)
 }
+
+// Answers of any size must wait while callers that do not read hold the memory of the
+// account. Those callers must give way, and no answer must be aborted for them.
+func TestAnswersWaitForCallersThatDoNotRead(t *testing.T) {
+	for _, size := range []int64{60_000, 1 << 20} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			a := account.New(8 << 20)
+			m := NewSharedMemoryBudget(4<<20, a)
+			var unread []*Reservation
+			for {
+				var caller *account.Holder
+				res := &Reservation{}
+				caller = a.NewHolder(func() { go res.Release() })
+				*res = *m.NewReservationFor(caller)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+				res.ctx = ctx
+				err := res.grow(size, func() {})
+				cancel()
+				if err != nil {
+					res.Release()
+					break
+				}
+				c.Assert(res.finishReading(), qt.IsNil)
+				caller.Progress()
+				unread = append(unread, res)
+			}
+			c.Check(len(unread) > 2, qt.IsTrue)
+			ended := m.Use().Ended
+			ordinary := m.NewReservationFor(a.NewHolder(func() { c.Error("aborted") }))
+			ordinary.ctx = t.Context()
+			c.Check(ordinary.grow(size, func() { c.Error("interrupted") }), qt.IsNil)
+			c.Check(m.Use().Ended, qt.Equals, ended)
+			ordinary.Release()
+			for _, res := range unread {
+				res.Release()
+			}
+			c.Check(a.Usage().Used, qt.Equals, int64(0))
+		})
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -209,7 +209,7 @@
 	if failure == nil {
 		idle = answer.Idle
 		var err error
-		reservation := n.memory.NewReservation()
+		reservation := n.memory.NewReservationFor(r.Memory())
 		body, err = answer.Body.ReadAll(reservation)
 		_ = answer.Body.Close()
 		if err != nil {
--- a/gateway/ingress/memory.go
+++ b/gateway/ingress/memory.go
@@ -32,6 +32,9 @@
 	// needs for a field beside its text.
 	headCopies = 4
 	fieldBytes = 72
+	// unreadBytes is the size of the answers that wait for a caller from which on no
+	// further request of it is read.
+	unreadBytes = 256 << 10
 )
 
 // limitBodies sets the limits of the classes of bodies, with room for one of the largest
--- a/gateway/ingress/read.go
+++ b/gateway/ingress/read.go
@@ -37,7 +37,7 @@
 			request, status = nil, onPanic
 		}
 	}()
-	if !c.awaitRequest() {
+	if !c.awaitRequest() || !c.awaitReader() {
 		return nil, 0
 	}
 	c.noteArrival()
--- a/gateway/ingress/turn.go
+++ b/gateway/ingress/turn.go
@@ -25,6 +25,19 @@
 	return true
 }
 
+// awaitReader waits until the caller has read enough of its answers for another request to
+// be read. It returns false if the connection accepts no more requests.
+func (c *conn) awaitReader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaitTurn(func() bool { return len(c.unanswered) == 0 || !c.hasUnread() })
+}
+
+// hasUnread reports whether the caller has much to read and an answer is being written.
+func (c *conn) hasUnread() bool {
+	return c.memory.Waits() && c.memory.Used(account.SmallAnswers)+c.memory.Used(account.LargeAnswers) >= unreadBytes
+}
+
 // awaitTurn waits until ready returns true; ready is called again after each answer.
 // It returns false if the connection accepts no more requests or the caller has
 // disconnected. It reads ahead in the meantime, because only a read detects a
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -38,9 +38,9 @@
 	return int64(runtimeShare * float64(memoryBytes(r)))
 }
 
-// answerMemory returns the memory budget for answers on a host.
-func answerMemory(r platform.Resources) *exchange.MemoryBudget {
-	return exchange.NewMemoryBudget(memoryBytes(r) / answerMemoryDivisor)
+// answerMemory returns the memory budget for answers on a host, which count in the account.
+func answerMemory(r platform.Resources, callers *account.Account) *exchange.MemoryBudget {
+	return exchange.NewSharedMemoryBudget(memoryBytes(r)/answerMemoryDivisor, callers)
 }
 
 // answerReservations holds the memory reservations of the answers to one request.
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -7,12 +7,14 @@
 	qt "github.com/frankban/quicktest"
 
 	"filbertmill.example/exchange"
+	"filbertmill.example/exchange/account"
 	"filbertmill.example/platform"
 )
 
 func TestAnswerMemoryIsAShareOfTheHosts(t *testing.T) {
-	qt.Check(t, answerMemory(platform.Resources{MemoryMB: 184}).Use().Limit, qt.Equals, int64(46<<20))
-	qt.Check(t, answerMemory(platform.Resources{}).Use().Limit, qt.Equals, int64(64<<20))
+	callers := account.New(0)
+	qt.Check(t, answerMemory(platform.Resources{MemoryMB: 184}, callers).Use().Limit, qt.Equals, int64(46<<20))
+	qt.Check(t, answerMemory(platform.Resources{}, callers).Use().Limit, qt.Equals, int64(64<<20))
 }
 
 // TestDeliveredRequestHoldsNoAnswerMemory checks that the memory of answers is
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -100,7 +100,7 @@
 	var callers *account.Account
 	n.room, callers = account.NewRoom(RuntimeMemory(settings.Resources))
 	n.room.Watch()
-	n.memory = answerMemory(settings.Resources)
+	n.memory = answerMemory(settings.Resources, callers)
 	n.runNumber = rand.Uint64()
 	n.runID = settings.Name + "/" + strconv.FormatUint(n.runNumber, 36)
 	n.store = platform.NewClient(settings.StoreAddress, n.stats.countStoreCall)
--- a/integration/crowdkinds_test.go
+++ b/integration/crowdkinds_test.go
@@ -20,8 +20,8 @@
 	"filbertmill.example/testbed/process"
 )
 
-// The crowds of these tests hold memory otherwise than by bodies: by heads and by requests
-// behind others.
+// The crowds of these tests hold memory otherwise than by bodies: by heads, by requests
+// behind others, by answers that they do not read, and in several of these ways at once.
 const (
 	// manyDescriptors allows for more callers than crowdDescriptors, in the same memory.
 	manyDescriptors = 2048
@@ -29,6 +29,8 @@
 	// somewhat less.
 	headLimit = 16384
 	longHead  = 16000
+	// unreadAnswer is the size of an answer that no caller of the crowd reads.
+	unreadAnswer = 60000
 )
 
 // mixedCrowd is a crowd of more callers, whose answers are compared with what the targets
@@ -156,6 +158,25 @@
 	return nil
 }
 
+// sendUnread sends many requests for answers of unreadAnswer bytes and reads none.
+func (m *mixedCrowd) sendUnread(conn net.Conn, caller int) error {
+	const each = 100
+	for i := range each {
+		id := fmt.Sprintf("unread-%d-%d", caller, i)
+		head := lines("GET", "look", id, fmt.Sprintf("%s: %d", backend.HeaderAnswerBytes, unreadAnswer)) + "\r\n"
+		if err := m.write(conn, id, head, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendBody sends a body that lacks its last byte.
+func (m *mixedCrowd) sendBody(conn net.Conn, caller, size int) error {
+	id := fmt.Sprintf("body-%d", caller)
+	return m.write(conn, id, lines("POST", "book", id, fmt.Sprintf("Content-Length: %d", size))+"\r\n", bytes.Repeat([]byte{'b'}, size-1))
+}
+
 // TestCrowdOfHeads guards against a process that ends since many callers send legal heads
 // and stop short of their end.
 func TestCrowdOfHeads(t *testing.T) {
@@ -177,6 +198,35 @@
 	m.check(t)
 }
 
+// TestCrowdOfUnreadAnswers guards against a process that ends since callers send many
+// requests for answers of which none is large, and read none of them.
+func TestCrowdOfUnreadAnswers(t *testing.T) {
+	m := startMixedCrowd(t, func(*process.Gateway) {})
+	for _, b := range m.backends {
+		b.Set(backend.Behavior{Work: time.Millisecond})
+	}
+	m.sendAll(600, m.sendUnread)
+	time.Sleep(3 * time.Second) // the answers arrive
+	m.check(t)
+}
+
+// TestCrowdOfLargeUnreadAnswers is the same with answers of 1 MiB.
+func TestCrowdOfLargeUnreadAnswers(t *testing.T) {
+	m := startMixedCrowd(t, func(*process.Gateway) {})
+	m.sendAll(300, func(conn net.Conn, caller int) error {
+		const each = 20
+		for i := range each {
+			id := fmt.Sprintf("unread-%d-%d", caller, i)
+			if err := m.write(conn, id, lines("GET", "look", id, fmt.Sprintf("%s: %d", backend.HeaderAnswerBytes, 1<<20))+"\r\n", nil); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	time.Sleep(3 * time.Second)
+	m.check(t)
+}
+
 // TestCrowdOfRequestsBehind guards against a process that ends since many callers send
 // further requests, with bodies, behind one that takes its time.
 func TestCrowdOfRequestsBehind(t *testing.T) {
@@ -195,3 +245,26 @@
 	})
 	m.check(t)
 }
+
+// TestCrowdOfSeveralKinds guards against a process that ends since what callers of several
+// kinds hold adds up, though each kind is bounded.
+func TestCrowdOfSeveralKinds(t *testing.T) {
+	m := startMixedCrowd(t, func(*process.Gateway) {})
+	for _, b := range m.backends {
+		b.Set(backend.Behavior{Work: time.Millisecond})
+	}
+	m.sendAll(1200, func(conn net.Conn, caller int) error {
+		switch kind := caller % 24; {
+		case kind == 0:
+			return m.sendBody(conn, caller, crowdBody)
+		case kind < 8:
+			return m.sendHead(conn, caller)
+		case kind < 16:
+			return m.sendBody(conn, caller, 60000)
+		default:
+			return m.sendUnread(conn, caller)
+		}
+	})
+	time.Sleep(3 * time.Second)
+	m.check(t)
+}
