gateway/logs: lines that nobody reads are bounded in bytes

Seen by callers: a process of 128 MB whose log nobody read had 197 and 205 MB resident beside 64 callers that sent requests with long paths.

Cause: the queues of lines were bounded in lines only. A line names the path, host and id of the request, up to the limit of its head, and JSON escapes make six bytes of one.

Change: each queue holds at most 1 MiB. The texts of callers are cut to 256 bytes in log lines, and so is the id in messages to other nodes.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -93,5 +93,5 @@
 	if r.Request == nil {
 		return ""
 	}
-	return string(r.Request.Header.Peek(platform.HeaderRequestID))
+	return loggable(r.Request.Header.Peek(platform.HeaderRequestID))
 }
--- a/gateway/logs/writer.go
+++ b/gateway/logs/writer.go
@@ -1,8 +1,8 @@
 // Package logs writes log lines without ever blocking the goroutines that log.
 //
-// Lines wait in bounded queues: one for ordinary lines and one for warnings and
-// errors, which are written first. A line is dropped if its queue is full or its
-// rate limit is exceeded. Dropped lines are counted, and the counts are logged.
+// Lines wait in queues that are bounded in lines and in bytes: one for ordinary lines
+// and one for warnings and errors, which are written first. A line is dropped if its
+// queue is full or its rate limit is exceeded. Dropped lines are counted, and the counts are logged.
 package logs
 
 import (
@@ -20,8 +20,10 @@
 )
 
 const (
-	// queueLines is the capacity of each queue, in lines.
+	// queueLines and queueBytes are the capacity of each queue, in lines and in bytes. The
+	// lines that a node writes by itself reach the first before the second.
 	queueLines = 1024
+	queueBytes = 1 << 20
 	// linesPerSecond and burstLines limit the rate of each class of lines, to at most a
 	// few hundred kilobytes per second.
 	linesPerSecond = 300
@@ -44,6 +46,8 @@
 	name  string
 	queue chan []byte
 	limit *rate.Limiter
+	// queued is the size of the lines in the queue, in bytes.
+	queued atomic.Int64
 	// dropped counts the lines dropped since the last report, and total all dropped
 	// lines.
 	dropped atomic.Int64
@@ -99,11 +103,14 @@
 // Write queues or drops one line. It never fails and never blocks.
 func (w queueWriter) Write(line []byte) (int, error) {
 	if w.limit.Allow() {
-		select {
-		case w.queue <- bytes.Clone(line):
-			return len(line), nil
-		default:
+		if w.queued.Add(int64(len(line))) <= queueBytes {
+			select {
+			case w.queue <- bytes.Clone(line):
+				return len(line), nil
+			default:
+			}
 		}
+		w.queued.Add(-int64(len(line)))
 	}
 	w.dropped.Add(1)
 	w.total.Add(1)
@@ -118,15 +125,15 @@
 	for {
 		select {
 		case line := <-w.classes[urgent].queue:
-			w.write(line)
+			w.classes[urgent].write(w.out, line)
 			continue
 		default:
 		}
 		select {
 		case line := <-w.classes[urgent].queue:
-			w.write(line)
+			w.classes[urgent].write(w.out, line)
 		case line := <-w.classes[ordinary].queue:
-			w.write(line)
+			w.classes[ordinary].write(w.out, line)
 		case <-ticker.C:
 			w.report()
 		case <-w.done:
@@ -139,8 +146,9 @@
 // flush writes the lines that are still queued.
 func (w *Writer) flush() {
 	for i := range w.classes {
-		for range len(w.classes[i].queue) {
-			w.write(<-w.classes[i].queue)
+		c := &w.classes[i]
+		for range len(c.queue) {
+			c.write(w.out, <-c.queue)
 		}
 	}
 	w.report()
@@ -159,10 +167,14 @@
 			"class": c.name, "lines": n,
 		})
 		if err == nil {
-			w.write(append(line, '\n'))
+			_, _ = w.out.Write(append(line, '\n'))
 		}
 	}
 }
 
-// write writes one line. It ignores errors, because there is nowhere to report them.
-func (w *Writer) write(line []byte) { _, _ = w.out.Write(line) }
+// write writes a line from the queue. It ignores errors, because there is nowhere to
+// report them.
+func (c *class) write(out io.Writer, line []byte) {
+	_, _ = out.Write(line)
+	c.queued.Add(-int64(len(line)))
+}
--- a/gateway/logs/writer_test.go
+++ b/gateway/logs/writer_test.go
@@ -33,6 +33,26 @@
 	w.Close(10 * time.Millisecond)
 }
 
+// TestUnreadLinesAreBoundedInBytes guards against memory that grows with the length of the
+// lines while nobody reads them.
+func TestUnreadLinesAreBoundedInBytes(t *testing.T) {
+	r, out := io.Pipe()
+	defer r.Close()
+	w := NewWriter(out)
+	log := logger(w)
+	text := strings.Repeat("x", 100<<10)
+	for range burstLines {
+		log.Info(text)
+		log.Warn(text)
+	}
+	for i := range w.classes {
+		c := &w.classes[i]
+		qt.Check(t, len(c.queue)*len(text) <= queueBytes, qt.IsTrue, qt.Commentf("%d lines of the class %s", len(c.queue), c.name))
+		qt.Check(t, c.total.Load() > 0, qt.IsTrue)
+	}
+	w.Close(10 * time.Millisecond)
+}
+
 func TestDroppedLinesAreReportedByClass(t *testing.T) {
 	var mu sync.Mutex
 	var out bytes.Buffer
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -30,6 +30,7 @@
 // request is a caller's request with its route, deadlines and memory.
 type request struct {
 	*ingress.Request
+	// id is its id, cut short if it is long.
 	id         string
 	route      *dynamic.Route
 	service    string
@@ -143,7 +144,7 @@
 	}
 	r := &request{
 		Request:    in,
-		id:         string(in.Header.Peek(platform.HeaderRequestID)),
+		id:         loggable(in.Header.Peek(platform.HeaderRequestID)),
 		route:      route,
 		service:    splits.service(route),
 		idempotent: route.Idempotency == dynamic.IdempotentAlways,
@@ -262,8 +263,8 @@
 	if code >= http.StatusInternalServerError {
 		logLine = n.log.Warn
 	}
-	fields := append(adviceFields(res.advice), "request", string(in.Header.Peek(platform.HeaderRequestID)), "host", string(in.Header.Host()),
-		"path", string(in.Path()), "status", code, "outcome", res.outcome.Kind, "reason", res.outcome.Reason,
+	fields := append(adviceFields(res.advice), "request", loggable(in.Header.Peek(platform.HeaderRequestID)), "host", loggable(in.Header.Host()),
+		"path", loggable(in.Path()), "status", code, "outcome", res.outcome.Kind, "reason", res.outcome.Reason,
 		"detail", res.outcome.Detail, "target", res.target, "home", res.home,
 		"version", res.version, "listed_at", res.listedAt, "copy_age_ms", res.copyAge.Milliseconds(), "retry_after_ms", res.outcome.RetryAfter.Milliseconds(),
 		"elapsed_ms", time.Since(in.Received).Milliseconds())
--- a/integration/crowdkinds_test.go
+++ b/integration/crowdkinds_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -268,3 +270,33 @@
 	time.Sleep(3 * time.Second)
 	m.check(t)
 }
+
+// TestCrowdBesideUnreadLogs guards against a process that ends since nobody reads its log
+// while callers send requests whose lines are long.
+func TestCrowdBesideUnreadLogs(t *testing.T) {
+	var pipe *os.File
+	m := startMixedCrowd(t, func(g *process.Gateway) {
+		// The node's log becomes a pipe that this test holds open and does not read.
+		log := filepath.Join(t.TempDir(), "log")
+		qt.Assert(t, syscall.Mkfifo(log, 0o600), qt.IsNil)
+		var err error
+		pipe, err = os.OpenFile(log, os.O_RDWR, 0)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = pipe.Close() })
+		g.Log = log
+	})
+	// Bytes that JSON escapes make a line six times as long.
+	path := strings.Repeat("&", longHead-300)
+	m.sendAll(64, func(conn net.Conn, caller int) error {
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		for i := range 100 {
+			head := fmt.Sprintf("GET /look/%s HTTP/1.1\r\nHost: g.example\r\n%s: log-%d-%d\r\n\r\n", path, platform.HeaderRequestID, caller, i)
+			if _, err := io.WriteString(conn, head); err != nil {
+				return err
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return nil
+	})
+	m.check(t)
+}
--- a/testbed/process/gateway.go
+++ b/testbed/process/gateway.go
@@ -29,6 +29,9 @@
 	// MaxDescriptors is the number of file descriptors that it may use; 0 stands for
 	// DefaultMaxDescriptors.
 	MaxDescriptors int
+	// Log is the file to which it writes its log; empty stands for one in the directory
+	// of the settings file.
+	Log string
 }
 
 // DefaultMemoryMB is the memory of a node, in MB, if Gateway sets none.
@@ -128,5 +131,6 @@
 	cmd := exec.Command(bin, "gateway")
 	cmd.Env = append(os.Environ(), "FILBERTMILL_SETTINGS="+g.file(dir))
 	spec := Spec{Name: g.Name, AvailabilityZone: g.AvailabilityZone, Callers: g.Callers, Control: g.Control}
-	return run(cmd, spec, filepath.Join(dir, g.Name+".log"), "http://"+g.Ready+"/ready")
+	log := cmp.Or(g.Log, filepath.Join(dir, g.Name+".log"))
+	return run(cmd, spec, log, "http://"+g.Ready+"/ready")
 }
