node: what callers of `filbertmill serve` hold is in an account, too

Cause: nothing bounded what callers hold. The codec copies a head of 60 KB about 17 times while it arrives in pieces.

Change: the section [limits] of a node's settings states its memory (1024 MB by default) and descriptors. Connections are admitted while there is room; idle ones give way. A connection gathers a head below the codec, which gets it in one piece; heads that begin in the codec's own buffer are counted with what it makes of them. Bodies, as far as they are held, and small answers are counted until the next request. The Go runtime's memory limit follows the settings. Accept goes on after a shortage of descriptors, by the listener that the gateway has, which moves to exchange/guard.

TestRequestsInPiecesArriveUnchanged sends 480 requests in random pieces.

--- a/cmd/filbertmill/serve.go
+++ b/cmd/filbertmill/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,9 @@
 	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(node.RuntimeMemory(settings.MemoryMB))
+	}
 	n, err := node.New(settings, cfg, newLogger(settings))
 	if err != nil {
 		return report(err)
--- a/config/static/parse_test.go
+++ b/config/static/parse_test.go
@@ -46,6 +46,7 @@
 		DrainTimeout: time.Minute,
 		LogLevel:     "info",
 		EventRing:    4096,
+		MemoryMB:     1024,
 	})
 }
 
--- a/config/static/sections.go
+++ b/config/static/sections.go
@@ -19,6 +19,11 @@
 	// minEventRing and maxEventRing limit the number of decisions kept.
 	minEventRing = 16
 	maxEventRing = 1 << 20
+	// minMemoryMB and maxMemoryMB limit the memory of a process, and maxDescriptors the
+	// number of its file descriptors.
+	minMemoryMB    = 64
+	maxMemoryMB    = 1 << 20
+	maxDescriptors = 1 << 30
 	// maxDrain is the maximum of both settings of [drain].
 	maxDrain = 24 * time.Hour
 )
@@ -29,7 +34,7 @@
 type field = schema.Field[Settings]
 
 // sectionNames lists the sections in the order of the documentation.
-var sectionNames = []string{"node", "listen", "fleet", sectionPlatform, "drain", "log"}
+var sectionNames = []string{"node", "listen", "fleet", sectionPlatform, "limits", "drain", "log"}
 
 // sections holds the fields of each section.
 var sections = map[string][]field{
@@ -56,6 +61,11 @@
 		schema.URL(keyStore, func(s *Settings) *string { return &s.StoreURL }),
 		schema.URL("host_list", func(s *Settings) *string { return &s.HostListURL }),
 	},
+	"limits": {
+		schema.Integer("memory_mb", "MB", minMemoryMB, maxMemoryMB, func(s *Settings) *int { return &s.MemoryMB }).WithDefault("1024"),
+		schema.Integer("descriptors", "file descriptors", 0, maxDescriptors, func(s *Settings) *int { return &s.Descriptors }).
+			WithDefault("0"),
+	},
 	"drain": {
 		schema.Duration("delay", 0, maxDrain, func(s *Settings) *time.Duration { return &s.DrainDelay }).WithDefault("5s"),
 		schema.Duration("timeout", time.Millisecond, maxDrain, func(s *Settings) *time.Duration { return &s.DrainTimeout }).
--- a/config/static/static.go
+++ b/config/static/static.go
@@ -38,6 +38,12 @@
 	// StoreURL and HostListURL locate the platform's services. [platform].
 	StoreURL    string
 	HostListURL string
+	// MemoryMB is the memory that the process may use, in MB. [limits] memory_mb.
+	// Default: 1024.
+	MemoryMB int
+	// Descriptors is the number of file descriptors that the process may use; 0 stands
+	// for the limit of the operating system. [limits] descriptors.
+	Descriptors int
 	// DrainDelay is how long the node keeps accepting requests after it stops
 	// reporting ready, so that the load balancer can notice. [drain] delay.
 	// Default: 5s.
--- a/gateway/ingress/accept.go
+++ b/exchange/guard/accept.go
@@ -1,4 +1,4 @@
-package ingress
+package guard
 
 import (
 	"expvar"
@@ -22,10 +22,10 @@
 type RetryingListener struct{ net.Listener }
 
 // Accept implements net.Listener.
-func (l RetryingListener) Accept() (net.Conn, error) { return acceptRetrying(l.Listener.Accept) }
+func (l RetryingListener) Accept() (net.Conn, error) { return AcceptRetrying(l.Listener.Accept) }
 
-// acceptRetrying calls accept until it succeeds or fails permanently.
-func acceptRetrying[C net.Conn](accept func() (C, error)) (C, error) {
+// AcceptRetrying calls accept until it succeeds or fails permanently.
+func AcceptRetrying[C net.Conn](accept func() (C, error)) (C, error) {
 	for {
 		c, err := accept()
 		if err == nil || !isShortage(err) {
--- a/gateway/ingress/accept_test.go
+++ b/exchange/guard/accept_test.go
@@ -1,4 +1,4 @@
-package ingress
+package guard
 
 import (
 	"net"
@@ -25,9 +25,9 @@
 		}
 		return served, nil
 	}
-	c, err := acceptRetrying(accept)
+	c, err := AcceptRetrying(accept)
 	qt.Check(t, err, qt.IsNil)
 	qt.Check(t, c, qt.Equals, served)
-	_, err = acceptRetrying(accept)
+	_, err = AcceptRetrying(accept)
 	qt.Check(t, err, qt.ErrorIs, syscall.EINVAL)
 }
--- a/exchange/guard/guard.go
+++ b/exchange/guard/guard.go
@@ -1,4 +1,5 @@
-// Package guard recovers from a panic while a connection is served, for example of
+// Package guard keeps a listener and its process alive: it accepts again after a shortage
+// of descriptors, and recovers from a panic while a connection is served, for example of
 // the HTTP codec on a malformed request. Without it, the panic would end the
 // process and with it all other connections.
 package guard
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -88,6 +88,33 @@
 	return bytes.Equal(head[:n], protocolPrefix[:n])
 }
 
+// maxMethodBytes is the length within which the head of a request has a space.
+const maxMethodBytes = 32
+
+// BeginsRequest reports whether head may be the start of a request: its method consists of
+// the characters of a token (RFC 9110, section 5.6.2).
+func BeginsRequest(head []byte) bool {
+	for i, b := range head {
+		switch {
+		case b == ' ':
+			return i > 0
+		case i == maxMethodBytes:
+			return false
+		case b <= ' ' || b >= 0x7f || isDelimiter(b):
+			return false
+		}
+	}
+	return true
+}
+
+func isDelimiter(b byte) bool {
+	switch b {
+	case '"', '(', ')', ',', '/', ':', ';', '<', '=', '>', '?', '@', '[', '\\', ']', '{', '}':
+		return true
+	}
+	return false
+}
+
 // HeadScan searches for the end of a head: the first empty line after a line that
 // is not empty.
 type HeadScan struct {
--- a/gateway/ingress/head.go
+++ b/gateway/ingress/head.go
@@ -16,8 +16,6 @@
 	minHeadBytes = 1 << 10
 	// defaultHeadBytes limits heads while no configuration does.
 	defaultHeadBytes = 1 << 20
-	// maxMethodBytes is the length within which a head that is one has a space.
-	maxMethodBytes = 32
 )
 
 // The errors of heads.
@@ -69,7 +67,7 @@
 		case end > 0:
 			c.socket.putBack(head[end:])
 			return head[:end:end], nil
-		case !beginsRequest(head):
+		case !exchange.BeginsRequest(head):
 			return nil, errNotRequest
 		case c.reading.Aborted():
 			return nil, errNoMemory
@@ -129,27 +127,3 @@
 	r.Header.SetRawHeaders(nil) // another copy of the head, of no further use
 	return nil
 }
-
-// beginsRequest reports whether head may be the start of a request: its method consists of
-// the characters of a token (RFC 9110, section 5.6.2).
-func beginsRequest(head []byte) bool {
-	for i, b := range head {
-		switch {
-		case b == ' ':
-			return i > 0
-		case i == maxMethodBytes:
-			return false
-		case b <= ' ' || b >= 0x7f || isDelimiter(b):
-			return false
-		}
-	}
-	return true
-}
-
-func isDelimiter(b byte) bool {
-	switch b {
-	case '"', '(', ')', ',', '/', ':', ';', '<', '=', '>', '?', '@', '[', '\\', ']', '{', '}':
-		return true
-	}
-	return false
-}
--- a/gateway/ingress/socket.go
+++ b/gateway/ingress/socket.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/exchange/account"
+	"filbertmill.example/exchange/guard"
 )
 
 // socket is a caller's TCP connection below the codec's buffers. It gives access to
@@ -143,7 +144,7 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	tcp, err := acceptRetrying(l.AcceptTCP)
+	tcp, err := guard.AcceptRetrying(l.AcceptTCP)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		tcp, err = l.acceptFromBacklog()
 	}
@@ -163,7 +164,7 @@
 	if err := l.SetDeadline(time.Now().Add(backlogIdleTime)); err != nil {
 		return nil, err
 	}
-	tcp, err := acceptRetrying(l.AcceptTCP)
+	tcp, err := guard.AcceptRetrying(l.AcceptTCP)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, net.ErrClosed
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/exchange/guard"
-	"filbertmill.example/gateway/ingress"
 	"filbertmill.example/platform"
 )
 
@@ -32,7 +31,7 @@
 		return nil, errors.Wrap(err, "listen for readiness checks")
 	}
 	r := &readiness{engine: server.New(
-		server.WithListener(ingress.RetryingListener{Listener: l}),
+		server.WithListener(guard.RetryingListener{Listener: l}),
 		server.WithTransport(guard.Transport(onPanic)),
 		server.WithDisablePrintRoute(true),
 	)}
--- a/integration/crowdkinds_test.go
+++ b/integration/crowdkinds_test.go
@@ -103,15 +103,25 @@
 	m.checkRefusals(t)
 }
 
-// checkRefusals reads the answers of the crowd's callers and checks that no target ran a
-// request that was answered with 408, 429 or 503.
+// checkRefusals checks that no target ran a request of the crowd that was refused.
 func (m *mixedCrowd) checkRefusals(t *testing.T) {
+	t.Helper()
+	refused := readRefusals(t, m.requests)
+	for _, run := range m.ledger.Runs() {
+		status, ok := refused[run.Request]
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("%s was answered %d and ran", run.Request, status))
+	}
+}
+
+// readRefusals reads the answers to the requests, given by connection in their order, and
+// returns the status of those that were answered with 408, 429 or 503.
+func readRefusals(t *testing.T, requests map[net.Conn][]string) map[string]int {
 	t.Helper()
 	var mu sync.Mutex
 	statuses := make(map[int]int)
 	refused := make(map[string]int)
 	var all sync.WaitGroup
-	for conn, ids := range m.requests {
+	for conn, ids := range requests {
 		all.Go(func() {
 			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 			r := bufio.NewReader(conn)
@@ -136,10 +146,7 @@
 	}
 	all.Wait()
 	t.Logf("answers by status: %v", statuses)
-	for _, run := range m.ledger.Runs() {
-		status, ok := refused[run.Request]
-		qt.Check(t, ok, qt.IsFalse, qt.Commentf("%s was answered %d and ran", run.Request, status))
-	}
+	return refused
 }
 
 // sendHead sends a head of longHead bytes that does not end, in pieces.
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -46,6 +46,8 @@
 	dir   string
 	// platformSettings are the lines of the section [platform] of the nodes' settings.
 	platformSettings string
+	// sections are further sections of them.
+	sections string
 }
 
 // startFleet starts n nodes that read the configuration from a file.
@@ -58,9 +60,14 @@
 // startNodes starts n nodes with the given lines in the section [platform] of
 // their settings, and waits until they are ready.
 func startNodes(c *qt.C, n int, platformSettings string) *fleet {
+	return startNodesWith(c, n, platformSettings, "")
+}
+
+// startNodesWith is startNodes with further sections of the settings.
+func startNodesWith(c *qt.C, n int, platformSettings, sections string) *fleet {
 	specs, err := process.NewSpecs(n, zones)
 	c.Assert(err, qt.IsNil)
-	f := &fleet{dir: c.TempDir(), platformSettings: platformSettings, specs: specs}
+	f := &fleet{dir: c.TempDir(), platformSettings: platformSettings, sections: sections, specs: specs}
 	for i := range specs {
 		f.nodes = append(f.nodes, nil)
 		f.start(c, i)
@@ -73,7 +80,7 @@
 
 // start starts the i-th node, which may have run before.
 func (f *fleet) start(c *qt.C, i int) {
-	extra := fmt.Sprintf("[platform]\n%s\n\n[drain]\ndelay = 200ms\n", f.platformSettings)
+	extra := fmt.Sprintf("[platform]\n%s\n\n[drain]\ndelay = 200ms\n\n%s", f.platformSettings, f.sections)
 	node, err := process.Start(binary, f.dir, f.specs[i], f.specs[i].Settings(f.specs, extra))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(node.Kill)
--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -45,7 +45,10 @@
 }
 
 // startBookings starts n nodes, a store and four targets with one ledger.
-func startBookings(c *qt.C, n int) *bookingFleet {
+func startBookings(c *qt.C, n int) *bookingFleet { return startBookingsWith(c, n, "") }
+
+// startBookingsWith is startBookings with further sections of the nodes' settings.
+func startBookingsWith(c *qt.C, n int, sections string) *bookingFleet {
 	store, err := standin.Start("127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = store.Close() })
@@ -63,7 +66,7 @@
 	publisher := &publish.Publisher{Store: store.Store}
 	_, err = publisher.Apply(c.Context(), publish.Change{File: "fleet.ini", Text: []byte(bookingConfig + ini), Author: "test"})
 	c.Assert(err, qt.IsNil)
-	f := startNodes(c, n, "store = "+store.URL())
+	f := startNodesWith(c, n, "store = "+store.URL(), sections)
 	return &bookingFleet{
 		fleet: f, store: store, targets: targets, ledger: ledger, proxies: proxies, notRun: make(map[string][]int),
 	}
--- a/node/admin.go
+++ b/node/admin.go
@@ -20,7 +20,7 @@
 
 // adminRoutes adds the routes for operators and for the platform's balancer.
 func (n *Node) adminRoutes(e *server.Hertz) {
-	n.stats.publish(func() any { return n.membership.transport.Counters() })
+	n.stats.publish(func() any { return n.membership.transport.Counters() }, func() any { return n.limits.usage() })
 	e.GET("/livez", func(_ context.Context, ctx *app.RequestContext) {
 		ctx.JSON(http.StatusOK, readiness{Ready: n.ready.Load()})
 	})
--- a/node/entry.go
+++ b/node/entry.go
@@ -21,13 +21,26 @@
 // handleCaller serves a request from a caller.
 func (n *Node) handleCaller(c context.Context, ctx *app.RequestContext) {
 	done := n.begin()
+	conn := callerConnOf(c)
+	defer conn.endRequest(ctx)
 	id := requestID(ctx)
 	if n.refusing.Load() {
 		n.respond(ctx, id, refused(outcome.ReasonShutdown, ""), callerSide)
 		done()
 		return
 	}
+	if err := conn.beginRequest(ctx); err != nil {
+		ctx.Response.SetConnectionClose()
+		n.respond(ctx, id, refused(outcome.ReasonQueueFull, err.Error()), callerSide)
+		done()
+		return
+	}
+	bodyRead := conn.waitForBody()
 	r, refusal := n.accept(ctx, id)
+	bodyRead()
+	if r != nil && r.body.stream != nil {
+		conn.beginUpload()
+	}
 	if r == nil {
 		n.respond(ctx, id, refusal, callerSide)
 		done()
--- a/node/events_test.go
+++ b/node/events_test.go
@@ -65,7 +65,7 @@
 	for _, row := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\|").FindAllStringSubmatch(table, -1) {
 		listed[row[1]] = true
 	}
-	newStats().publish(func() any { return nil })
+	newStats().publish(func() any { return nil }, func() any { return nil })
 	published := map[string]bool{}
 	expvar.Do(func(v expvar.KeyValue) { published[v.Key] = true })
 	qt.Assert(t, listed, qt.DeepEquals, published)
--- a/node/listener.go
+++ b/node/listener.go
@@ -46,16 +46,22 @@
 	addr   net.Addr
 }
 
-// listen binds an address and returns a server for it that is not yet running.
-// onPanic is called with each panic that ended a connection.
-func listen(name, address string, mode bodyMode, onPanic func(value any, stack []byte)) (*listener, error) {
-	ln, err := net.Listen("tcp", address)
+// listen binds an address and returns a server for it that is not yet running. Its
+// connections are within the limits, if there are any. onPanic is called with each panic
+// that ended a connection.
+func listen(name, address string, mode bodyMode, limits *callerLimits, onPanic func(value any, stack []byte)) (*listener, error) {
+	bound, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
+	var ln net.Listener = guard.RetryingListener{Listener: bound}
+	if limits != nil {
+		ln = limits.listener(bound)
+	}
 	silenceHertz()
 	opts := []config.Option{
 		server.WithListener(ln),
+		server.WithOnAccept(withCallerConn),
 		server.WithTransport(guard.Transport(onPanic)),
 		server.WithStreamBody(bool(mode)),
 		server.WithDisablePreParseMultipartForm(true),
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,8 @@
 	refusing atomic.Bool
 	ready    atomic.Bool
 
+	// limits limits what the connections of callers hold.
+	limits  *callerLimits
 	callers *listener
 	peers   *listener
 	admin   *listener
@@ -56,6 +58,7 @@
 		reports:  newReports(settings.EventRing, time.Now()),
 		self:     once.Member{Name: settings.Name, Incarnation: rand.Uint64()},
 		copies:   newCopyTransfers(),
+		limits:   newCallerLimits(settings.MemoryMB, settings.Descriptors),
 	}
 	n.inForce.effective = n.applyEffective
 	n.control = newControlLoop(n, seedOf(settings.Name))
@@ -79,15 +82,15 @@
 // listen opens the node's listeners.
 func (n *Node) listen() error {
 	var err error
-	if n.callers, err = listen("callers", n.settings.CallerAddress, streaming, n.recordPanic); err != nil {
+	if n.callers, err = listen("callers", n.settings.CallerAddress, streaming, n.limits, n.recordPanic); err != nil {
 		return err
 	}
 	n.callers.engine.NoRoute(n.handleCaller)
-	if n.peers, err = listen("peers", n.settings.PeerAddress, streaming, n.recordPanic); err != nil {
+	if n.peers, err = listen("peers", n.settings.PeerAddress, streaming, nil, n.recordPanic); err != nil {
 		return err
 	}
 	n.peers.engine.NoRoute(n.handlePeer)
-	if n.admin, err = listen("admin", n.settings.AdminAddress, buffered, n.recordPanic); err != nil {
+	if n.admin, err = listen("admin", n.settings.AdminAddress, buffered, nil, n.recordPanic); err != nil {
 		return err
 	}
 	n.adminRoutes(n.admin.engine)
--- a/node/stats.go
+++ b/node/stats.go
@@ -32,13 +32,14 @@
 
 // publish publishes the counters with expvar. Only the first node of a process
 // publishes its counters.
-func (s *stats) publish(control expvar.Func) {
+func (s *stats) publish(control, callers expvar.Func) {
 	publishOnce.Do(func() {
 		expvar.Publish("answers_by_reason", s.answers)
 		expvar.Publish("peer_answers_by_reason", s.peers)
 		expvar.Publish("events_by_kind", s.events)
 		expvar.Publish("connection_panics", s.panics)
 		expvar.Publish("control", control)
+		expvar.Publish("caller_memory", callers)
 	})
 }
 
