--- a/soak/main.go
+++ b/soak/main.go
@@ -39,6 +39,7 @@
 	Eager      bool          `arg:"--eager" help:"long work varies more and has a short latency objective: nodes send it again as often as their budget allows"`
 	Advice     bool          `arg:"--advice" help:"also targets that state in their answers a limit, that they leave, or a pause"`
 	Workspaces bool          `arg:"--workspaces" help:"callers have keys of workspaces, one of which sends beyond its quota; lookups are downloads"`
+	Hostile    bool          `arg:"--hostile" help:"also callers that hold memory and connections: heads and bodies without their end, bodies beyond the limit, answers that they do not read; nodes have 128 MB"`
 	Mutants    bool          `arg:"--mutants" help:"build faults into the program on purpose; each must be found within the seeds (5 if not set)"`
 	Plot       string        `arg:"--plot" help:"draw the latest run to this .svg or .png file: faults over time against answers by outcome"`
 	// KnownRed names the promises that are known to be broken.
@@ -156,6 +157,9 @@
 	if a.Advice {
 		fmt.Print(" --advice")
 	}
+	if a.Hostile {
+		fmt.Print(" --hostile")
+	}
 	fmt.Println()
 	return broken, nil
 }
