--- a/integration/crowdkinds_test.go
+++ b/integration/crowdkinds_test.go
@@ -259,6 +259,12 @@
 // kinds hold adds up, though each kind is bounded.
 func TestCrowdOfSeveralKinds(t *testing.T) {
 	m := startMixedCrowd(t, func(*process.Gateway) {})
+	m.sendSeveralKinds()
+	m.check(t)
+}
+
+// sendSeveralKinds has callers of several kinds send, and waits until answers arrive.
+func (m *mixedCrowd) sendSeveralKinds() {
 	for _, b := range m.backends {
 		b.Set(backend.Behavior{Work: time.Millisecond})
 	}
@@ -275,6 +281,33 @@
 		}
 	})
 	time.Sleep(3 * time.Second)
+}
+
+// TestCrowdBesideALargeConfiguration guards against a room for callers that does not
+// shrink as the configuration grows: it has thousands of routes, and changes while the
+// crowd is there.
+func TestCrowdBesideALargeConfiguration(t *testing.T) {
+	const routes = 4500
+	m := startMixedCrowd(t, func(*process.Gateway) {})
+	many := make([]string, routes)
+	for i := range many {
+		many[i] = fmt.Sprintf(`{"name":"route-%d","kind":"safe","slo-s":0.6,"priority":1,"match":{"prefix":"/a/longer/prefix/of/many/%d/"},`+
+			`"action":{"service":"look","timeout-s":1.5,"attempts":3}}`, i, i)
+	}
+	last := func() bool {
+		return m.send(0, "GET", fmt.Sprintf("a/longer/prefix/of/many/%d", routes-1), "last").StatusCode == 200
+	}
+	m.configure(1500*time.Millisecond, many...)
+	m.await("the routes are in force", 10*time.Second, last)
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for range 4 {
+			time.Sleep(time.Second)
+			m.configure(1500*time.Millisecond, many...)
+		}
+	})
+	m.sendSeveralKinds()
+	changes.Wait()
 	m.check(t)
 }
 
