exchange: an answer for which callers leave no memory is not the target's fault

Seen in review of the account: an answer that was aborted since callers hold the memory counted as cut by its target, which lowers the belief in a sound target while a crowd is there. An answer whose caller had left could have others aborted in its place, and one whose deadline had passed waited without sleeping.

Change: such answers fail with a cause of their own, which is no evidence on the target. An answer whose caller or deadline is gone gives up itself. A request that is being read waits at most 1.1 s for memory, then it is refused; some waited for 2 s.

--- a/exchange/account/account.go
+++ b/exchange/account/account.go
@@ -23,8 +23,8 @@
 	// need its memory: a caller that sends and reads gets the memory of one that does not.
 	stallTime = time.Second
 	// growthWait is how long a Holder that may be aborted waits for memory. Then the
-	// one of its class that has made no progress for the longest time is aborted, and after
-	// twice that time it is aborted itself.
+	// one of its class that has made no progress for the longest time is aborted, itself
+	// perhaps.
 	growthWait = time.Second
 	// checkInterval is the interval at which waiting growth looks for stalled Holders.
 	checkInterval = 100 * time.Millisecond
@@ -188,11 +188,11 @@
 		a.mu.Unlock()
 		return nil
 	}
+	waited := h.waitingSince.Swap(0)
 	w := &waiter{holder: h, class: c, bytes: bytes, done: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
 	a.makeRoom(w, 0)
 	a.mu.Unlock()
-	waited := h.waitingSince.Swap(0)
 	err := a.await(ctx, w)
 	if waited != 0 {
 		h.Progress()
@@ -293,11 +293,11 @@
 	return h.used[c]
 }
 
-// Aborted reports whether the Holder was aborted.
+// Aborted reports whether the Holder was aborted or closed.
 func (h *Holder) Aborted() bool {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	return h.aborted
+	return h.aborted || h.closed
 }
 
 // Close releases all memory of the Holder. Its growth fails from then on.
@@ -431,13 +431,15 @@
 	if waited < growthWait || w.holder.aborted || a.fitsWithout(a.freeing, w.class, w.bytes) {
 		return
 	}
+	var victim *Holder
 	switch {
 	case scanned:
-		if victim := a.slowest(w); victim != nil {
-			a.abort(victim)
-		}
-	case waited >= 2*growthWait && w.class.isOfRequests():
-		a.abort(w.holder)
+		victim = a.slowest(w)
+	case w.class.isOfRequests():
+		victim = w.holder
+	}
+	if victim != nil {
+		a.abort(victim)
 	}
 }
 
--- a/exchange/account/account_test.go
+++ b/exchange/account/account_test.go
@@ -110,7 +110,7 @@
 		began := time.Now()
 		h := a.NewHolder(func() {})
 		qt.Check(t, h.Grow(t.Context(), SmallBodies, mb), qt.ErrorIs, ErrNoMemory)
-		qt.Check(t, time.Since(began) <= 2*growthWait+checkInterval, qt.IsTrue)
+		qt.Check(t, time.Since(began) <= growthWait+checkInterval, qt.IsTrue)
 		qt.Check(t, h.Aborted(), qt.IsTrue)
 	})
 }
--- a/exchange/failure.go
+++ b/exchange/failure.go
@@ -47,11 +47,14 @@
 	CauseMalformed
 	// CauseRequestBody means that the request body could not be read to its end.
 	CauseRequestBody
+	// CauseNoMemory means that callers hold the memory in which the answer would have
+	// been buffered. The remote end is not at fault.
+	CauseNoMemory
 )
 
 // String returns the cause's name.
 func (c Cause) String() string {
-	return [...]string{"connection", "timeout", "cancelled", "malformed", "request_body"}[c]
+	return [...]string{"connection", "timeout", "cancelled", "malformed", "request_body", "no_memory"}[c]
 }
 
 // Failure is the error of an exchange that ended without a complete answer.
@@ -125,6 +128,9 @@
 	errOtherAttempt = &breachError{BreachOtherAttempt, "the answer belongs to another attempt"}
 )
 
+// errNoMemory is the error of an answer for which callers leave no memory.
+var errNoMemory = errors.New("callers hold the memory for answers")
+
 // isBreach reports whether err says that an answer is unusable.
 func isBreach(err error) bool {
 	var b *breachError
@@ -151,6 +157,8 @@
 	switch {
 	case isBreach(err):
 		f.Cause = CauseMalformed
+	case errors.Is(err, errNoMemory):
+		f.Cause = CauseNoMemory
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.Cause = CauseCancelled
 	case ctx.Err() != nil || isTimeout(err):
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -89,10 +89,11 @@
 	caller *account.Holder
 	ctx    context.Context
 	// The fields below are guarded by budget.mu. Small is the memory that only the account
-	// counts. Interrupt makes the reading of the answer fail.
+	// counts. Evicted is why the answer was aborted, else nil. Interrupt makes its reading
+	// fail.
 	small     int64
 	held      int64
-	evicted   bool
+	evicted   error
 	released  bool
 	interrupt func()
 }
@@ -120,20 +121,21 @@
 	defer m.mu.Unlock()
 	r.interrupt = interrupt
 	m.reading[r] = struct{}{}
-	for began := time.Now(); !r.evicted && !r.take(size); {
+	for began := time.Now(); r.evicted == nil && !r.take(size); {
 		switch {
+		case r.ctx.Err() != nil, r.caller != nil && r.caller.Aborted():
+			m.evict(r, errNoMemory)
 		case m.evicting > 0:
 			m.wait(r.ctx, nil)
-		case r.caller != nil && time.Since(began) < stallWait && r.ctx.Err() == nil && m.account.Expects(account.LargeAnswers, size-r.held):
+		case r.caller != nil && time.Since(began) < stallWait && m.account.Expects(account.LargeAnswers, size-r.held):
 			m.wait(r.ctx, time.After(accountCheck))
+		case m.used+size-r.held <= m.limit:
+			m.evict(m.largest(r, size), errNoMemory)
 		default:
-			m.evict(m.largest(r, size))
+			m.evict(m.largest(r, size), errMemory)
 		}
 	}
-	if r.evicted {
-		return errMemory
-	}
-	return nil
+	return r.evicted
 }
 
 // growSmall raises the memory of an answer that the budget does not count.
@@ -142,13 +144,13 @@
 		return nil
 	}
 	if err := r.caller.Grow(r.ctx, account.SmallAnswers, size-r.small); err != nil {
-		return errors.Wrapf(errMemory, "%v", err)
+		return errors.Wrapf(errNoMemory, "%v", err)
 	}
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	if r.released {
 		r.caller.Release(account.SmallAnswers, size-r.small)
-		return errMemory
+		return errNoMemory
 	}
 	r.small = size
 	return nil
@@ -196,7 +198,7 @@
 // size that it asks for. It must be called with mu held.
 func (m *MemoryBudget) largest(growing *Reservation, size int64) *Reservation {
 	for r := range m.reading {
-		if r.held > size && !r.evicted {
+		if r.held > size && r.evicted == nil {
 			growing, size = r, r.held
 		}
 	}
@@ -204,8 +206,8 @@
 }
 
 // evict aborts the reading of an answer. It must be called with mu held.
-func (m *MemoryBudget) evict(r *Reservation) {
-	r.evicted = true
+func (m *MemoryBudget) evict(r *Reservation, cause error) {
+	r.evicted = cause
 	m.evicting++
 	m.ended++
 	r.interrupt()
@@ -218,10 +220,7 @@
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	delete(r.budget.reading, r)
-	if r.evicted {
-		return errMemory
-	}
-	return nil
+	return r.evicted
 }
 
 // Release releases the memory of the answer.
@@ -235,7 +234,7 @@
 	r.released = true
 	delete(m.reading, r)
 	m.used -= r.held
-	if r.evicted {
+	if r.evicted != nil {
 		m.evicting--
 	}
 	if r.caller != nil {
@@ -317,9 +316,11 @@
 	if err == nil {
 		return buf, nil
 	}
-	if r.finishReading() != nil || errors.Is(err, errMemory) {
-		// The reading failed because the answer was aborted to free memory, or got none.
-		err = b.failWith(errors.Wrapf(errMemory, "%d bytes read", b.read))
+	if cause := r.finishReading(); cause != nil {
+		// The reading failed because the answer was aborted to free memory.
+		err = b.failWith(errors.Wrapf(cause, "%d bytes read", b.read))
+	} else if errors.Is(err, errNoMemory) {
+		err = b.failWith(err)
 	}
 	r.Release()
 	return nil, err
--- a/exchange/memory_test.go
+++ b/exchange/memory_test.go
@@ -189,6 +189,8 @@
 				err := res.grow(size, func() {})
 				cancel()
 				if err != nil {
+					// The remote end is not at fault.
+					c.Check(newFailure(t.Context(), StageReceive, err).Cause, qt.Equals, CauseNoMemory)
 					res.Release()
 					break
 				}
--- a/node/attempt/attempt.go
+++ b/node/attempt/attempt.go
@@ -20,7 +20,7 @@
 // Verdict classifies an exchange that failed before the answer was complete.
 func Verdict(f *exchange.Failure) pool.Verdict {
 	switch {
-	case f.Cause == exchange.CauseCancelled || f.Cause == exchange.CauseRequestBody:
+	case f.Cause == exchange.CauseCancelled, f.Cause == exchange.CauseRequestBody, f.Cause == exchange.CauseNoMemory:
 		return pool.VerdictCancelled
 	case f.Cause == exchange.CauseTimeout:
 		return pool.VerdictTimeout
