exchange/guard: both commands choose alike which connections give way

`gateway/ingress` and `node` had the same search for the connections that have been idle for the longest time. It is one function now.

--- a/exchange/guard/guard.go
+++ b/exchange/guard/guard.go
@@ -1,7 +1,7 @@
 // Package guard keeps a listener and its process alive: it accepts again after a shortage
-// of descriptors, and recovers from a panic while a connection is served, for example of
-// the HTTP codec on a malformed request. Without it, the panic would end the
-// process and with it all other connections.
+// of descriptors, chooses which connections give way to new ones, and recovers from a panic
+// while a connection is served, for example of the HTTP codec on a malformed request.
+// Without that, the panic would end the process and with it all other connections.
 package guard
 
 import (
--- a/gateway/ingress/crowding.go
+++ b/gateway/ingress/crowding.go
@@ -1,39 +1,23 @@
 package ingress
 
 import (
+	"maps"
 	"net"
-	"slices"
 	"time"
-)
-
-// When callers have as many connections open as the process may spare, each further one
-// needs the place of another: of one whose caller has sent nothing for a while and waits
-// for no answer, the longest first. If there is none, the new one is closed.
 
-const (
-	// crowdedIdleTime is the time without a byte after which a connection may be closed
-	// for another.
-	crowdedIdleTime = time.Second
-	// crowdedBatch is the number of connections that are closed at once, so that they are
-	// not searched for each new one.
-	crowdedBatch = 16
+	"filbertmill.example/exchange/guard"
 )
 
+// When callers have as many connections open as the process may spare, or as there is memory
+// for, each further one needs the place of another: of one whose caller has sent nothing for
+// a while and waits for no answer, the longest first. If there is none, the new one is
+// closed.
+
 // makeRoom closes connections so that a new one can stay, or else the new one. It must be
 // called with mu held.
 func (s *Server) makeRoom(accepted net.Conn) {
-	type idleConn struct {
-		*conn
-		idle time.Duration
-	}
-	var idle []idleConn
-	for c := range s.conns {
-		if d := c.quiet(); d >= crowdedIdleTime {
-			idle = append(idle, idleConn{c, d})
-		}
-	}
-	slices.SortFunc(idle, func(a, b idleConn) int { return int(b.idle - a.idle) })
-	for _, c := range idle[:min(len(idle), crowdedBatch)] {
+	idle := guard.LongestIdle(maps.Keys(s.conns), (*conn).quiet)
+	for _, c := range idle {
 		c.displace()
 		s.displaced.Add(1)
 	}
--- a/node/callerconn.go
+++ b/node/callerconn.go
@@ -42,7 +42,6 @@
 	limits *callerLimits
 	memory *account.Holder
 	closed sync.Once
-	opened time.Time
 
 	mu sync.Mutex
 	// codec is the codec's connection on top; nil before the first request.
@@ -78,7 +77,7 @@
 )
 
 func newCallerConn(nc net.Conn, l *callerLimits) *callerConn {
-	c := &callerConn{Conn: nc, limits: l, whole: true, opened: time.Now(), lastRead: time.Now()}
+	c := &callerConn{Conn: nc, limits: l, whole: true, lastRead: time.Now()}
 	c.memory = l.account.NewHolder(func() { _ = nc.Close() })
 	return c
 }
--- a/node/callerlimits.go
+++ b/node/callerlimits.go
@@ -3,11 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
-	"time"
 
 	"filbertmill.example/exchange/account"
 	"filbertmill.example/exchange/guard"
@@ -20,10 +19,6 @@
 	// callerDescriptorShare is the share of the process's file descriptors that the
 	// connections of callers may take. The rest is for those to targets and other nodes.
 	callerDescriptorShare = 0.7
-	// crowdedIdleTime is the time without a byte after which an idle connection may be
-	// closed for a new one, and crowdedBatch the number of them that are closed at once.
-	crowdedIdleTime = time.Second
-	crowdedBatch    = 16
 )
 
 // defaultMemoryMB is the memory of a process whose settings state none, in MB.
@@ -105,20 +100,10 @@
 // displace closes the connections that have been idle for the longest time. It reports
 // whether there were any. It must be called with mu held.
 func (l *callerLimits) displace() bool {
-	type idleConn struct {
-		*callerConn
-		idle time.Duration
-	}
-	var idle []idleConn
-	for c := range l.conns {
-		if d := c.idle(); d >= crowdedIdleTime {
-			idle = append(idle, idleConn{c, d})
-		}
-	}
-	slices.SortFunc(idle, func(a, b idleConn) int { return cmp.Compare(b.idle, a.idle) })
-	for _, c := range idle[:min(len(idle), crowdedBatch)] {
+	idle := guard.LongestIdle(maps.Keys(l.conns), (*callerConn).idle)
+	for _, c := range idle {
 		l.displaced++
-		delete(l.conns, c.callerConn)
+		delete(l.conns, c)
 		_ = c.Conn.Close()
 	}
 	return len(idle) > 0
