exchange: a lost connection discards the address's spare connections

Cause: a spare connection that was opened while the target's process ended. Traced: listener closed between 23.374892 and 23.374951 s, spare connection opened at 23.374996, the loss seen on another connection at 23.375018; no end of stream arrived on the spare one in 4.4 ms, and the request written to it was answered with a reset. Whether an unsafe request ran can't be known then.

Change: an exchange that loses its connection before the head of an answer, or that is refused, closes the spare connections of its address and those being opened. They have proved nothing yet; the next exchange opens one. Only `serve` holds spare connections.

TestLostConnectionDiscardsSpares fails without the call (2 of 2 spares kept).

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -147,6 +147,7 @@
 func (c *Client) Do(ctx context.Context, call Call) (*Answer, *Failure) {
 	cn, f := c.connect(ctx, call)
 	if f != nil {
+		c.discardSpares(call.Address, f)
 		return nil, f
 	}
 	if d, ok := ctx.Deadline(); ok {
@@ -160,6 +161,7 @@
 	if f != nil {
 		stop()
 		cn.abort()
+		c.discardSpares(call.Address, f)
 		f.Idle = idle
 		return nil, f
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -182,6 +182,31 @@
 	c.Check(cl.Open(), qt.Equals, int64(0))
 }
 
+// TestLostConnectionDiscardsSpares guards against a request on a spare connection that was
+// opened before a process ended and of whose end the client has not heard.
+func TestLostConnectionDiscardsSpares(t *testing.T) {
+	c := qt.New(t)
+	s := serveScript(c, "<cut>")
+	cl := NewClient(Options{Name: "t"})
+	addr := s.ln.Addr().String()
+	cl.replenish(addr, 3)
+	for cl.spares.pool.size(addr) < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(cl.spares.beginDial(addr, 4), qt.IsTrue)
+	defer cl.spares.endDial(addr)
+	_, err := get(c, cl, s)
+	c.Assert(err, qt.ErrorMatches, "await: connection: unexpected EOF")
+	c.Check(cl.spares.pool.size(addr), qt.Equals, 0)
+	c.Check(cl.Open(), qt.Equals, int64(0))
+	c.Check(cl.spares.losses(addr), qt.Equals, 1, qt.Commentf("the connection being opened is kept"))
+
+	s.ln.Close()
+	_, err = get(c, cl, s)
+	c.Assert(err, qt.ErrorMatches, "dial: connection: .*refused")
+	c.Check(cl.spares.losses(addr), qt.Equals, 2)
+}
+
 // A busy address must have a spare connection besides the idle one that is reused.
 // An address with rare exchanges must have none.
 func TestBusyAddressHasSpareConnection(t *testing.T) {
--- a/exchange/failure.go
+++ b/exchange/failure.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	herrors "github.com/cloudwego/hertz/pkg/common/errors"
@@ -82,6 +83,18 @@
 // NotSent reports whether certainly no byte of the request was written.
 func (f *Failure) NotSent() bool { return f.Stage == StageDial }
 
+// endOfProcess reports whether the remote process may have ended: it refused the
+// connection, or closed it without the head of an answer.
+func (f *Failure) endOfProcess() bool {
+	switch {
+	case f.Cause != CauseConnection:
+		return false
+	case f.Stage == StageDial:
+		return errors.Is(f.Err, syscall.ECONNREFUSED)
+	}
+	return f.Stage != StageReceive
+}
+
 // Breach is the reason for which an answer that arrived is unusable.
 type Breach string
 
--- a/exchange/spares.go
+++ b/exchange/spares.go
@@ -20,13 +20,20 @@
 	pool *connPool
 
 	mu sync.Mutex
-	// dialing counts the connections that are being opened, by address.
-	dialing map[string]int
+	// dialing holds the connections that are being opened, by address.
+	dialing map[string]*dials
+}
+
+// dials are the spare connections to one address that are being opened.
+type dials struct {
+	count int
+	// losses is how often discard was called since the first of them began.
+	losses int
 }
 
 // newSpares returns spares without any connection.
 func newSpares() *spares {
-	return &spares{pool: newConnPool(), dialing: make(map[string]int)}
+	return &spares{pool: newConnPool(), dialing: make(map[string]*dials)}
 }
 
 // beginDial reports whether another spare connection to the address is needed to
@@ -35,10 +42,15 @@
 func (s *spares) beginDial(addr string, want int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.dialing[addr]+s.pool.size(addr) >= want {
+	d := s.dialing[addr]
+	if d == nil {
+		d = &dials{}
+	}
+	if d.count+s.pool.size(addr) >= want {
 		return false
 	}
-	s.dialing[addr]++
+	d.count++
+	s.dialing[addr] = d
 	return true
 }
 
@@ -47,12 +59,34 @@
 func (s *spares) endDial(addr string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dialing[addr]--
-	if s.dialing[addr] == 0 {
+	d := s.dialing[addr]
+	d.count--
+	if d.count == 0 {
 		delete(s.dialing, addr)
 	}
 }
 
+// losses returns a number that discard changes while a connection to the address is
+// being opened.
+func (s *spares) losses(addr string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dialing[addr].losses
+}
+
+// discard closes the spare connections to an address, also those that are being opened.
+func (s *spares) discard(addr string) {
+	s.mu.Lock()
+	if d := s.dialing[addr]; d != nil {
+		d.losses++
+	}
+	s.mu.Unlock()
+	for cn := s.pool.take(addr); cn != nil; cn = s.pool.take(addr) {
+		cn.stopIdleWatch()
+		cn.abort()
+	}
+}
+
 // openSpareIfBusy opens spare connections in the background if cn was the last
 // idle connection to a busy address.
 func (c *Client) openSpareIfBusy(call Call, cn *conn) {
@@ -74,11 +108,26 @@
 // then opens a connection itself.
 func (c *Client) openSpare(addr string, want int) {
 	defer c.spares.endDial(addr)
+	losses := c.spares.losses(addr)
 	cn, f := c.dial(context.Background(), addr)
 	if f != nil {
 		return
 	}
 	if !c.spares.pool.put(cn, want, func(cn *conn) { cn.startIdleWatch(c.opts.SpareTimeout) }) {
 		cn.abort()
+		return
+	}
+	if c.spares.losses(addr) != losses && c.spares.pool.remove(cn) {
+		cn.stopIdleWatch()
+		cn.abort()
+	}
+}
+
+// discardSpares closes the spare connections to an address whose process may have ended.
+// A connection that was opened as the process ended may look open until a request is
+// written to it.
+func (c *Client) discardSpares(addr string, f *Failure) {
+	if f.endOfProcess() {
+		c.spares.discard(addr)
 	}
 }
