gateway/ingress: a stopped process reads what arrived before it refuses with 408

Callers saw: 408 for requests that had arrived in time, after their node had been stopped for longer than the header timeout in the middle of their head.

Cause: once a read deadline has passed, a read fails without looking at what has arrived. A process that is stopped across the deadline refuses requests whose rest has been in its socket for seconds.

Change: after the deadline of a head or body, what has arrived is read without waiting, as idle connections do already; not once the connection closes or its memory is taken back.

--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -66,7 +66,7 @@
 		_ = c.nc.Skip(len(buffered))
 	}
 	before := bytes.NewReader(buffered)
-	all := io.MultiReader(before, c.socket)
+	all := io.MultiReader(before, requestReader{c})
 	rest := func() []byte { return nil }
 	if length == lengthChunked {
 		chunks := exchange.NewChunkedReader(all)
--- a/gateway/ingress/head.go
+++ b/gateway/ingress/head.go
@@ -82,7 +82,7 @@
 				return nil, err
 			}
 		}
-		n, err := c.socket.Read(head[len(head):cap(head)])
+		n, err := requestReader{c}.Read(head[len(head):cap(head)])
 		head = head[:len(head)+n]
 		if n > 0 {
 			c.reading.Progress()
--- a/gateway/ingress/read.go
+++ b/gateway/ingress/read.go
@@ -146,6 +146,26 @@
 	_ = c.nc.SetReadDeadline(deadline)
 }
 
+// requestReader reads the bytes of a request.
+type requestReader struct{ *conn }
+
+// Read implements io.Reader. After the deadline it still returns what has arrived: the
+// process may have been stopped until then.
+func (r requestReader) Read(p []byte) (int, error) {
+	n, err := r.socket.Read(p)
+	if n == 0 && isTimeout(err) && !r.reading.Aborted() && !r.isClosing() {
+		return r.socket.readArrived(p)
+	}
+	return n, err
+}
+
+// isClosing reports whether the connection accepts no more requests.
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // endRead records that a request was read completely.
 func (c *conn) endRead() {
 	c.mu.Lock()
--- a/gateway/ingress/socket.go
+++ b/gateway/ingress/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -111,32 +112,47 @@
 	peekedClose
 )
 
-// peek returns, without waiting, what the next Read would return. A read with a
-// deadline cannot be used for this: once the deadline has passed, it fails without
-// checking for bytes that have arrived.
+// peek returns, without waiting, what the next Read would return.
 func (s *socket) peek() peekResult {
 	if len(s.buffered) > 0 {
 		return peekedBytes
 	}
 	var first [1]byte
-	var n int
+	n, err := s.readArrived(first[:])
+	switch {
+	case n > 0:
+		s.buffered = first[:n]
+		return peekedBytes
+	case isTimeout(err):
+		return peekedNothing
+	}
+	return peekedClose
+}
+
+// readArrived reads what has arrived, without waiting. It fails with
+// os.ErrDeadlineExceeded if that is nothing. A read with a deadline cannot be used for
+// this: once the deadline has passed, it fails without checking for bytes that have
+// arrived.
+func (s *socket) readArrived(b []byte) (n int, err error) {
 	var readErr error
 	if err := s.raw.Control(func(fd uintptr) {
-		n, readErr = syscall.Read(int(fd), first[:])
+		n, readErr = syscall.Read(int(fd), b)
 		for errors.Is(readErr, syscall.EINTR) {
-			n, readErr = syscall.Read(int(fd), first[:])
+			n, readErr = syscall.Read(int(fd), b)
 		}
 	}); err != nil {
-		return peekedClose
+		return 0, err
 	}
 	switch {
-	case n > 0:
-		s.buffered = first[:n]
-		return peekedBytes
 	case errors.Is(readErr, syscall.EAGAIN):
-		return peekedNothing
+		return 0, os.ErrDeadlineExceeded
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: s.LocalAddr(), Addr: s.RemoteAddr(), Err: readErr}
+	case n == 0:
+		return 0, io.EOF
 	}
-	return peekedClose
+	s.lastRead.Store(int64(time.Since(s.opened)))
+	return n, nil
 }
 
 // listener accepts sockets.
--- /dev/null
+++ b/integration/lateread_test.go
@@ -0,0 +1,51 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/platform"
+)
+
+// TestStoppedProcessReadsWhatArrived guards against requests that are refused with 408
+// although they arrived in time: the process was stopped for longer than the header
+// timeout, and its read deadlines passed before it read what had arrived.
+func TestStoppedProcessReadsWhatArrived(t *testing.T) {
+	t.Setenv("GOMAXPROCS", "1") // as on the platform's hosts
+	const callers = 64
+	const stop = 3300 * time.Millisecond // longer than the header timeout
+	f := startGatewayFleet(t, 1, 3)
+	var conns []*callerConn
+	head := func(id string) string {
+		return fmt.Sprintf("GET /look/x HTTP/1.1\r\nHost: g.example\r\n%s: %s\r\n%s: 8000\r\n\r\n", platform.HeaderRequestID, id, platform.HeaderTimeLeft)
+	}
+	id := func(i int) string { return fmt.Sprintf("half-%d", i) }
+	for i := range callers {
+		c := f.dial(0)
+		c.send("GET", "/look/x", fmt.Sprintf("warm-%d", i))
+		_ = c.receive(fmt.Sprintf("warm-%d", i))
+		_, err := fmt.Fprint(c, head(id(i))[:30])
+		qt.Assert(t, err, qt.IsNil)
+		conns = append(conns, c)
+	}
+	time.Sleep(200 * time.Millisecond)
+	qt.Assert(t, syscall.Kill(f.nodes[0].PID(), syscall.SIGSTOP), qt.IsNil)
+	for i, c := range conns {
+		_, err := fmt.Fprint(c, head(id(i))[30:])
+		qt.Assert(t, err, qt.IsNil)
+	}
+	time.Sleep(stop)
+	qt.Assert(t, syscall.Kill(f.nodes[0].PID(), syscall.SIGCONT), qt.IsNil)
+	answers := make(map[int]int)
+	for i, c := range conns {
+		answers[c.receive(id(i))]++
+	}
+	t.Logf("answers by status: %v", answers)
+	qt.Check(t, answers[http.StatusRequestTimeout], qt.Equals, 0)
+	qt.Check(t, answers[0], qt.Equals, 0, qt.Commentf("requests without an answer"))
+}
