gateway/ingress: a caller that leaves while its next request waits for memory is noticed

Targets saw: work for callers that had left, for up to 1.1 s (half a second is allowed), while the next request on the connection waited for memory, or lay unread behind 64 KiB read ahead.

Cause: only a read notices that a caller has left. The reader does not read while it waits for memory, nor while there is none for reading ahead. Both came with the account of what callers hold.

Change: waiting growth asks every 0.1 s whether the caller has left (POLLRDHUP, which also tells with bytes unread before the close), and so does a reader that reads nothing. The request that waits ends then, and those in flight are cancelled.

TestLeavingIsNoticedWhileARequestWaitsForMemory failed before in all three cases: not cancelled within 0.2 s, and a request handled after its caller had left. Now within 0.5 s in three runs. TestStoppedProcessReadsWhatArrived also asserts that requests of callers who left during the stop are not sent on; that held before.

--- a/exchange/account/account.go
+++ b/exchange/account/account.go
@@ -16,8 +16,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrNoMemory is the error of growth whose Holder was aborted.
-var ErrNoMemory = errors.New("the memory for callers is used up")
+// The errors of growth.
+var (
+	// ErrNoMemory means that the Holder was aborted.
+	ErrNoMemory = errors.New("the memory for callers is used up")
+	// ErrCallerLeft means that the caller left while the growth waited.
+	ErrCallerLeft = errors.New("the caller left before there was memory")
+)
 
 // Class is a kind of memory.
 type Class uint8
@@ -108,6 +113,8 @@
 type Holder struct {
 	account *Account
 	abort   func()
+	// left reports whether the caller has left; nil if that is unknown.
+	left func() bool
 	// waitingSince is when the caller last made progress while the process waits for it,
 	// in nanoseconds since the Account was created. It is 0 while the process does not.
 	waitingSince atomic.Int64
@@ -128,6 +135,10 @@
 	return h
 }
 
+// WatchCaller sets the function that waiting growth calls at intervals to learn whether the
+// caller has left. It must be called before the first growth.
+func (h *Holder) WatchCaller(left func() bool) { h.left = left }
+
 // Progress records that the process waits for the caller, which has just sent or accepted
 // bytes.
 func (h *Holder) Progress() { h.waitingSince.Store(max(int64(time.Since(h.account.created)), 1)) }
@@ -149,7 +160,8 @@
 }
 
 // Grow adds memory of a class, and waits for it if necessary; meanwhile the process does
-// not wait for the caller. It fails if the Holder is aborted or the context ends.
+// not wait for the caller. It fails if the Holder is aborted, the caller leaves or the
+// context ends.
 func (h *Holder) Grow(ctx context.Context, c Class, bytes int64) error {
 	a := h.account
 	a.mu.Lock()
--- a/exchange/account/account_test.go
+++ b/exchange/account/account_test.go
@@ -164,3 +164,15 @@
 	qt.Check(t, a.Usage().Used, qt.Equals, int64(0))
 	qt.Check(t, a.classes[Requests].freeing, qt.Equals, int64(0))
 }
+
+// TestGrowthEndsWhenItsCallerLeaves guards against growth that waits on for a caller that
+// has left.
+func TestGrowthEndsWhenItsCallerLeaves(t *testing.T) {
+	a := New(1 << 20)
+	a.NewHolder(nil).Add(Requests, 1<<20)
+	h := a.NewHolder(func() {})
+	h.WatchCaller(func() bool { return true })
+	qt.Assert(t, h.Grow(t.Context(), Requests, 1<<10), qt.ErrorIs, ErrCallerLeft)
+	qt.Assert(t, h.Used(Requests), qt.Equals, int64(0))
+	qt.Assert(t, h.Aborted(), qt.IsFalse)
+}
--- a/exchange/account/waiting.go
+++ b/exchange/account/waiting.go
@@ -15,7 +15,8 @@
 	// one of its class that has made no progress for the longest time is aborted, itself
 	// perhaps.
 	growthWait = time.Second
-	// checkInterval is the interval at which waiting growth looks for stalled Holders.
+	// checkInterval is the interval at which waiting growth looks for stalled Holders and
+	// whether its caller has left.
 	checkInterval = 100 * time.Millisecond
 	// scanInterval is the least time between two searches for stalled Holders, which
 	// visit all of them.
@@ -42,6 +43,9 @@
 		case <-ctx.Done():
 			return a.leave(w, ctx.Err())
 		case <-check.C:
+			if w.holder.left != nil && w.holder.left() {
+				return a.leave(w, ErrCallerLeft)
+			}
 			a.mu.Lock()
 			a.makeRoom(w, time.Since(began))
 			a.mu.Unlock()
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -93,6 +93,7 @@
 	c := &conn{server: s, socket: sock, memory: sock.memory, nc: nc, number: s.accepted.Add(1), queue: make(chan *pending, maxQueued), lastByte: time.Now(), opened: time.Now()}
 	c.finished = sync.NewCond(&c.mu)
 	c.reading = s.account.NewHolder(func() { _ = sock.Conn.SetReadDeadline(pastDeadline) })
+	c.reading.WatchCaller(sock.callerLeft)
 	return c
 }
 
--- a/gateway/ingress/read.go
+++ b/gateway/ingress/read.go
@@ -10,6 +10,8 @@
 	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/exchange/account"
 )
 
 // readRequests reads requests and hands them to the Handler until the connection
@@ -185,7 +187,7 @@
 // isGone reports whether the connection has ended.
 func isGone(err error) bool {
 	var op *net.OpError
-	return errors.IsAny(err, herrors.ErrConnectionClosed, herrors.ErrNothingRead, net.ErrClosed) || errors.As(err, &op) || isEOF(err)
+	return errors.IsAny(err, herrors.ErrConnectionClosed, herrors.ErrNothingRead, net.ErrClosed, account.ErrCallerLeft) || errors.As(err, &op) || isEOF(err)
 }
 
 // isEOF reports whether err means that the peer closed the connection.
--- a/gateway/ingress/socket.go
+++ b/gateway/ingress/socket.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"filbertmill.example/exchange/account"
 	"filbertmill.example/exchange/guard"
@@ -155,6 +156,19 @@
 	return n, nil
 }
 
+// callerLeft reports whether the caller has closed the connection, even if bytes that it
+// sent before are unread.
+func (s *socket) callerLeft() bool {
+	events := 0
+	if err := s.raw.Control(func(fd uintptr) {
+		// An interrupted poll counts as none; the next one tells.
+		events, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 0)
+	}); err != nil {
+		return true
+	}
+	return events > 0
+}
+
 // listener accepts sockets.
 type listener struct{ *net.TCPListener }
 
--- a/gateway/ingress/turn.go
+++ b/gateway/ingress/turn.go
@@ -7,9 +7,13 @@
 	"filbertmill.example/exchange/account"
 )
 
-// maxReadAhead limits the bytes read ahead while a request waits for its turn. The
-// disconnect of a caller that sends more is not detected until the turn has come.
-const maxReadAhead = 64 << 10
+const (
+	// maxReadAhead limits the bytes read ahead while a request waits for its turn.
+	maxReadAhead = 64 << 10
+	// leftInterval is the interval at which the reader checks whether the caller has left
+	// while it reads nothing.
+	leftInterval = 100 * time.Millisecond
+)
 
 // chargeReadAhead accounts for the bytes read ahead and for extra bytes to be read. It
 // returns false if there is no memory for them.
@@ -40,12 +44,12 @@
 
 // awaitTurn waits until ready returns true; ready is called again after each answer.
 // It returns false if the connection accepts no more requests or the caller has
-// disconnected. It reads ahead in the meantime, because only a read detects a
-// disconnect. It must be called by the reader, with mu held.
+// disconnected. It reads ahead in the meantime. It must be called by the reader, with mu
+// held.
 func (c *conn) awaitTurn(ready func() bool) bool {
 	for !c.closing && !c.callerGone && !ready() {
 		if len(c.socket.buffered) >= maxReadAhead || !c.chargeReadAhead(readAheadBytes) {
-			c.finished.Wait()
+			c.awaitAnswer()
 			continue
 		}
 		c.readingAhead = true
@@ -62,6 +66,22 @@
 	return !c.closing && !c.callerGone
 }
 
+// awaitAnswer waits until an answer was written or has failed, or leftInterval has passed,
+// and then checks whether the caller has left. It must be called with mu held.
+func (c *conn) awaitAnswer() {
+	check := time.AfterFunc(leftInterval, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.finished.Broadcast()
+	})
+	defer check.Stop()
+	c.finished.Wait()
+	if !c.callerGone && c.socket.callerLeft() {
+		c.callerGone = true
+		c.setEnd(EndCaller)
+	}
+}
+
 // sendContinue waits for the turn of a request with Expect: 100-continue and sends
 // the interim answer. No other answer is being written at that time.
 func (c *conn) sendContinue() error {
--- a/gateway/ingress/turn_test.go
+++ b/gateway/ingress/turn_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"filbertmill.example/exchange/account"
 )
 
 // TestLeavingIsNoticedWhileARequestWaits guards against work that continues for a
@@ -42,6 +44,50 @@
 	}
 }
 
+// TestLeavingIsNoticedWhileARequestWaitsForMemory guards against work for a caller that
+// disconnected while a request on its connection waited for memory.
+func TestLeavingIsNoticedWhileARequestWaitsForMemory(t *testing.T) {
+	const noticeTime = 500 * time.Millisecond
+	const work = "GET /work?ms=3000 HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, behind := range map[string]string{
+		"for its head": work,
+		"for its body": "POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000),
+		"behind it":    "POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" + work,
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &echo{connectionEnds: make(chan ConnectionEnd, 1)}
+			s, addr := start(t, e)
+			c, _ := dial(t, addr)
+			_, err := c.Write([]byte(work))
+			qt.Assert(t, err, qt.IsNil)
+			for s.Stats().Handled == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			class := account.Requests
+			if name == "for its body" {
+				class = account.SmallBodies
+				s.limitBodies(1 << 20)
+			}
+			others := s.account.NewHolder(nil)
+			others.Add(class, s.memoryBytes)
+			_, err = c.Write([]byte(behind))
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(50 * time.Millisecond)
+			_ = c.Close()
+			select {
+			case path := <-e.cancelled:
+				qt.Check(t, path, qt.Equals, "/work")
+			case <-time.After(noticeTime):
+				t.Errorf("the handler's context was not cancelled")
+			}
+			others.Close()
+			end := <-e.connectionEnds
+			qt.Check(t, end.End, qt.Equals, EndCaller)
+			qt.Check(t, s.Stats().Handled, qt.Equals, int64(1), qt.Commentf("waiting requests were handled"))
+		})
+	}
+}
+
 // TestInterimAnswerKeepsItsPlace guards against an interim answer, 100 Continue, that
 // is written before, or in the middle of, the answer to an earlier request.
 func TestInterimAnswerKeepsItsPlace(t *testing.T) {
--- a/integration/lateread_test.go
+++ b/integration/lateread_test.go
@@ -14,10 +14,11 @@
 
 // TestStoppedProcessReadsWhatArrived guards against requests that are refused with 408
 // although they arrived in time: the process was stopped for longer than the header
-// timeout, and its read deadlines passed before it read what had arrived.
+// timeout, and its read deadlines passed before it read what had arrived. Requests whose
+// callers left in the meantime must not be sent on.
 func TestStoppedProcessReadsWhatArrived(t *testing.T) {
 	t.Setenv("GOMAXPROCS", "1") // as on the platform's hosts
-	const callers = 64
+	const callers, left = 64, 16
 	const stop = 3300 * time.Millisecond // longer than the header timeout
 	f := startGatewayFleet(t, 1, 3)
 	var conns []*callerConn
@@ -38,12 +39,20 @@
 	for i, c := range conns {
 		_, err := fmt.Fprint(c, head(id(i))[30:])
 		qt.Assert(t, err, qt.IsNil)
+		if i < left {
+			_ = c.Close()
+		}
 	}
 	time.Sleep(stop)
 	qt.Assert(t, syscall.Kill(f.nodes[0].PID(), syscall.SIGCONT), qt.IsNil)
 	answers := make(map[int]int)
-	for i, c := range conns {
-		answers[c.receive(id(i))]++
+	for i := left; i < callers; i++ {
+		answers[conns[i].receive(id(i))]++
+	}
+	for _, a := range f.ledger.Arrivals() {
+		for i := range left {
+			qt.Check(t, a.Request, qt.Not(qt.Equals), id(i))
+		}
 	}
 	t.Logf("answers by status: %v", answers)
 	qt.Check(t, answers[http.StatusRequestTimeout], qt.Equals, 0)
