node: the descriptors of callers stay within the limit of the system

What operators saw: nothing yet; found by reading. With `descriptors` above the operating system's limit, callers could take all descriptors, so that none was left for connections to targets. If that limit could not be read, connections were not bounded at all, without an error.

Change: the smaller of both holds, and an error ends the start. TestDescriptorsStayWithinTheSystem failed before: 751,619,276 connections allowed where the system's limit gives 14,000.

--- a/node/callerconn_test.go
+++ b/node/callerconn_test.go
@@ -44,7 +44,8 @@
 // mixed up since heads are gathered below the codec: they come in random pieces, several at
 // once, with and without bodies.
 func TestRequestsInPiecesArriveUnchanged(t *testing.T) {
-	limits := newCallerLimits(0, 0)
+	limits, err := newCallerLimits(0, 0)
+	qt.Assert(t, err, qt.IsNil)
 	address := startEcho(t, limits)
 	for seed := range uint64(40) {
 		rng := rand.New(rand.NewPCG(seed, 0))
@@ -87,5 +88,18 @@
 	qt.Check(t, limits.usage().Used, qt.Equals, int64(0))
 }
 
+// TestDescriptorsStayWithinTheSystem guards against a setting above the limit of the
+// operating system, with which callers could take all descriptors.
+func TestDescriptorsStayWithinTheSystem(t *testing.T) {
+	system, err := newCallerLimits(0, 0)
+	qt.Assert(t, err, qt.IsNil)
+	above, err := newCallerLimits(0, 1<<30)
+	qt.Assert(t, err, qt.IsNil)
+	below, err := newCallerLimits(0, 100)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, above.maxConns, qt.Equals, system.maxConns)
+	qt.Check(t, below.maxConns, qt.Equals, 70)
+}
+
 // pad returns header lines of about the given size.
 func pad(size int) string { return strings.Repeat("X-Pad: 0123456789abcdef\r\n", size/25) }
--- a/node/callerlimits.go
+++ b/node/callerlimits.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+
 	"filbertmill.example/exchange/account"
 	"filbertmill.example/exchange/guard"
 )
@@ -42,17 +44,18 @@
 }
 
 // newCallerLimits returns the limits of a process that may use the given memory and number
-// of descriptors. Without a number, it is the one of the operating system.
-func newCallerLimits(memoryMB, descriptors int) *callerLimits {
-	l := &callerLimits{conns: make(map[*callerConn]struct{})}
-	l.room, l.account = account.NewRoom(RuntimeMemory(cmp.Or(memoryMB, defaultMemoryMB)))
-	l.room.Watch()
+// of descriptors. Without a number, or beyond it, the limit of the operating system holds.
+func newCallerLimits(memoryMB, descriptors int) (*callerLimits, error) {
 	var system syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system); err == nil {
-		descriptors = cmp.Or(descriptors, int(min(system.Cur, 1<<30)))
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system); err != nil {
+		return nil, errors.Wrap(err, "limit of file descriptors")
 	}
-	l.maxConns = int(callerDescriptorShare * float64(descriptors))
-	return l
+	available := int(min(system.Cur, 1<<30))
+	descriptors = min(cmp.Or(descriptors, available), available)
+	l := &callerLimits{conns: make(map[*callerConn]struct{}), maxConns: int(callerDescriptorShare * float64(descriptors))}
+	l.room, l.account = account.NewRoom(RuntimeMemory(cmp.Or(memoryMB, defaultMemoryMB)))
+	l.room.Watch()
+	return l, nil
 }
 
 // listener returns a listener whose connections are within the limits.
@@ -85,7 +88,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	spare := c.memory.TryGrow(account.Connections, callerConnBytes)
-	if (!spare || l.maxConns > 0 && len(l.conns) >= l.maxConns) && !l.displace() {
+	if (!spare || len(l.conns) >= l.maxConns) && !l.displace() {
 		c.memory.Close()
 		l.displaced++
 		return nil
--- a/node/node.go
+++ b/node/node.go
@@ -58,12 +58,14 @@
 		reports:  newReports(settings.EventRing, time.Now()),
 		self:     once.Member{Name: settings.Name, Incarnation: rand.Uint64()},
 		copies:   newCopyTransfers(),
-		limits:   newCallerLimits(settings.MemoryMB, settings.Descriptors),
 	}
 	n.inForce.effective = n.applyEffective
 	n.control = newControlLoop(n, seedOf(settings.Name))
 	n.routes.Store(&routeTable{})
 	var err error
+	if n.limits, err = newCallerLimits(settings.MemoryMB, settings.Descriptors); err != nil {
+		return nil, err
+	}
 	if n.membership, err = newMembership(n, initialDocument(cfg)); err != nil {
 		return nil, err
 	}
