--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds what the scripts of the cases 11 to 15 start beside the program of deploy/system.toml:
+# caserun holds the stand-ins for the store (testbed/standin), the backends and the clients.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+go build -o target/review/caserun ./review/caserun
--- /dev/null
+++ b/review/caserun/poison.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// poisonBody is the body of the request that crashes each backend that runs it.
+	poisonBody = "poison"
+	// crashTime is how long a backend is down after a crash.
+	crashTime = 2 * time.Second
+	// poisonInterval is the time between two sendings of that request.
+	poisonInterval = 400 * time.Millisecond
+	// allowedRetries is the number of retries that may reach backends later than contact-s
+	// after the third crash.
+	allowedRetries = 3
+)
+
+// crash ends a backend, which is back after crashTime as a new one.
+func (f *fleet) crash(s *server, id string) {
+	f.note("   %s crashes while it runs %s", s.id, id)
+	s.end()
+	time.AfterFunc(crashTime, func() {
+		name, _, _ := strings.Cut(s.id, "+")
+		f.startServer(fmt.Sprintf("%s+%d", name, time.Now().UnixMilli()), s.service, s.zone, s.work)
+	})
+}
+
+// runPoison has a request come again and again that crashes each backend that runs it, while
+// the nodes are stopped and started in turn.
+func runPoison(f *fleet) bool {
+	const nodes, backends = 4, 8
+	for i := range backends {
+		f.startServer(fmt.Sprint("i-desk-", i), "desk", zones[i%len(zones)], 200*time.Millisecond)
+	}
+	f.configure("", route{"/desk/", "unsafe", "desk", false})
+	f.startNodes(nodes)
+	time.Sleep(contact + time.Second)
+
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var lost, served, sent int
+	var late int
+	var third time.Time
+	clients.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(poisonInterval):
+			}
+			n := f.inTouch(i)
+			if n < 0 {
+				continue
+			}
+			id, at := fmt.Sprint("bad-", i), time.Now()
+			f.send(call{node: n, method: http.MethodPost, target: "/desk/x", id: id, body: poisonBody})
+			runs := f.runsOf(id)
+			if len(runs) == 0 {
+				continue
+			}
+			switch sent++; {
+			case sent == 3:
+				third = time.Now()
+				f.note("the request has crashed three backends")
+			case sent > 3 && at.After(third.Add(contact)):
+				late++
+				f.note("retry %d that reaches a backend later than contact-s after that", late)
+			}
+		}
+	})
+	for c := range 8 {
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+				n := f.inTouch(c + i)
+				if n < 0 {
+					continue
+				}
+				id := fmt.Sprintf("good-%d-%d", c, i)
+				r := f.send(call{node: n, method: http.MethodPost, target: "/desk/x", id: id, body: "a booking", quiet: true})
+				f.mu.Lock()
+				if r.status == http.StatusOK {
+					served++
+				} else if r.status != http.StatusServiceUnavailable {
+					lost++
+				}
+				f.mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(12 * time.Second)
+	if f.trouble {
+		for i := range nodes {
+			f.restart(i)
+			time.Sleep(time.Second)
+		}
+	} else {
+		time.Sleep(15 * time.Second)
+	}
+	time.Sleep(5 * time.Second)
+	close(stop)
+	clients.Wait()
+	f.note("the poison request reached backends %d times, %d of them in retries later than contact-s after the third crash", sent, late)
+	f.note("other bookings: %d served, %d run and lost or of unknown fate", served, lost)
+	return late <= allowedRetries
+}
