--- a/review/caserun/fleet.go
+++ b/review/caserun/fleet.go
@@ -33,7 +33,9 @@
 // fleet is a small deployment: the platform's store, backends and nodes.
 type fleet struct {
 	record
-	trouble  bool
+	trouble bool
+	// memoryMB is the memory of a node in MB; 0 stands for the usual one.
+	memoryMB int
 	dir      string
 	platform *standin.Standin
 	store    *platform.Client
@@ -95,6 +97,7 @@
 	must(err, "find free addresses")
 	f.nodes, f.touched = make([]*process.Node, n), make([]time.Time, n)
 	for i := range f.specs {
+		f.specs[i].MemoryMB = f.memoryMB
 		f.startNode(i)
 	}
 	for i := range f.specs {
@@ -167,9 +170,10 @@
 	text := fmt.Sprintf(`{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,
 		"idle-timeout-s":15},%s"listeners":[{"host":"g.example","policy":[%s]}],"clusters":[%s]}`,
 		f.version, tenants, strings.Join(rules, ","), strings.Join(clusters, ","))
+	text = strings.Join(strings.Fields(text), "") // names and prefixes hold no blanks
 	_, err := f.store.Txn(context.Background(), nil, []platform.Put{{Key: platform.ConfigurationKey, Value: []byte(text)}})
 	must(err, "write the configuration")
-	f.note("configuration %08x is acknowledged: %s", f.version, strings.Join(strings.Fields(text), ""))
+	f.note("configuration %08x of %d bytes is acknowledged: %s", f.version, len(text), text[:min(len(text), 700)])
 }
 
 // call is what a client sends, byte by byte as stated.
--- a/review/caserun/main.go
+++ b/review/caserun/main.go
@@ -30,6 +30,7 @@
 	"floor":  runFloor,
 	"keys":   runKeys,
 	"poison": runPoison,
+	"storm":  runStorm,
 	"twice":  runTwice,
 }
 
