--- a/review/caserun/fleet.go
+++ b/review/caserun/fleet.go
@@ -34,6 +34,8 @@
 type fleet struct {
 	record
 	trouble bool
+	// answerBegins is set if backends crash only once an answer has begun.
+	answerBegins bool
 	// memoryMB is the memory of a node in MB; 0 stands for the usual one.
 	memoryMB int
 	dir      string
@@ -277,6 +279,8 @@
 	// long a further request waits for one of them before it is rejected.
 	slots     = 4
 	queueTime = 100 * time.Millisecond
+	// answerTime is the time from the first bytes of an answer to the crash.
+	answerTime = 20 * time.Millisecond
 )
 
 // heartbeat is the interval at which a backend reports; its entry lasts three of them.
@@ -350,6 +354,16 @@
 	return rand.Float64() < s.loses
 }
 
+// beginAnswer sends the head and the first bytes of an answer.
+func (s *server) beginAnswer(w http.ResponseWriter, id string) {
+	const begun = "the first bytes"
+	w.Header().Set("X-Backend-Stamp", s.id+"."+id)
+	w.Header().Set("Content-Length", strconv.Itoa(10*len(begun)))
+	_, _ = io.WriteString(w, begun)
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(answerTime)
+}
+
 // end ends the backend as a crash does: it accepts no connections and resets the open ones.
 func (s *server) end() {
 	s.mu.Lock()
@@ -397,6 +411,9 @@
 		key: r.Header.Get(platform.HeaderKey), tenant: r.Header.Get(platform.HeaderWorkspace),
 	})
 	if bytes.Equal(body, []byte(poisonBody)) {
+		if s.f.answerBegins {
+			s.beginAnswer(w, id)
+		}
 		s.f.crash(s, id)
 		return
 	}
--- a/review/caserun/main.go
+++ b/review/caserun/main.go
@@ -27,11 +27,12 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*fleet) bool{
-	"floor":  runFloor,
-	"keys":   runKeys,
-	"poison": runPoison,
-	"storm":  runStorm,
-	"twice":  runTwice,
+	"floor":     runFloor,
+	"keys":      runKeys,
+	"midanswer": runMidAnswer,
+	"restarts":  runRestarts,
+	"storm":     runStorm,
+	"twice":     runTwice,
 }
 
 func main() {
--- a/review/caserun/poison.go
+++ b/review/caserun/poison.go
@@ -30,9 +30,35 @@
 	})
 }
 
-// runPoison has a request come again and again that crashes each backend that runs it, while
+// runRestarts has a request come again and again that crashes each backend that runs it, while
 // the nodes are stopped and started in turn.
-func runPoison(f *fleet) bool {
+func runRestarts(f *fleet) bool {
+	return f.sendPoison(poisonBody, func() {
+		for i := range f.nodes {
+			if f.trouble {
+				f.restart(i)
+				time.Sleep(time.Second)
+			} else {
+				time.Sleep(4 * time.Second)
+			}
+		}
+	})
+}
+
+// runMidAnswer has such a request crash backends while they send its answer. Without the
+// trouble it is an ordinary one.
+func runMidAnswer(f *fleet) bool {
+	f.answerBegins = true
+	body := poisonBody
+	if !f.trouble {
+		body = "another booking"
+	}
+	return f.sendPoison(body, func() { time.Sleep(10 * time.Second) })
+}
+
+// sendPoison sends a request with the given body each poisonInterval, and ordinary ones beside
+// it, until meanwhile returns.
+func (f *fleet) sendPoison(body string, meanwhile func()) bool {
 	const nodes, backends = 4, 8
 	for i := range backends {
 		f.startServer(fmt.Sprint("i-desk-", i), "desk", zones[i%len(zones)], 200*time.Millisecond)
@@ -58,9 +84,9 @@
 				continue
 			}
 			id, at := fmt.Sprint("bad-", i), time.Now()
-			f.send(call{node: n, method: http.MethodPost, target: "/desk/x", id: id, body: poisonBody})
+			f.send(call{node: n, method: http.MethodPost, target: "/desk/x", id: id, body: body})
 			runs := f.runsOf(id)
-			if len(runs) == 0 {
+			if len(runs) == 0 || body != poisonBody {
 				continue
 			}
 			switch sent++; {
@@ -98,14 +124,7 @@
 		})
 	}
 	time.Sleep(12 * time.Second)
-	if f.trouble {
-		for i := range nodes {
-			f.restart(i)
-			time.Sleep(time.Second)
-		}
-	} else {
-		time.Sleep(15 * time.Second)
-	}
+	meanwhile()
 	time.Sleep(5 * time.Second)
 	close(stop)
 	clients.Wait()
