--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of the cases 11 to 15 start beside the program of deploy/system.toml:
+# Builds what the scripts of the third review start beside the program of deploy/system.toml:
 # caserun holds the stand-ins for the store (testbed/standin), the backends and the clients.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/caserun/fleet.go
+++ b/review/caserun/fleet.go
@@ -38,6 +38,8 @@
 	answerBegins bool
 	// memoryMB is the memory of a node in MB; 0 stands for the usual one.
 	memoryMB int
+	// link, if not nil, changes the settings of each node.
+	link     func(*process.Gateway)
 	dir      string
 	platform *standin.Standin
 	store    *platform.Client
@@ -100,6 +102,9 @@
 	f.nodes, f.touched = make([]*process.Node, n), make([]time.Time, n)
 	for i := range f.specs {
 		f.specs[i].MemoryMB = f.memoryMB
+		if f.link != nil {
+			f.link(&f.specs[i])
+		}
 		f.startNode(i)
 	}
 	for i := range f.specs {
--- a/review/caserun/main.go
+++ b/review/caserun/main.go
@@ -1,4 +1,4 @@
-// Command caserun runs the script cases 11 to 15 of the independent review: it starts nodes as
+// Command caserun runs the script cases of the third independent review: it starts nodes as
 // separate processes on loopback addresses, with stand-ins for the platform, the backends and
 // the clients, and checks one rule by what these have seen.
 //
@@ -29,7 +29,9 @@
 var cases = map[string]func(*fleet) bool{
 	"floor":     runFloor,
 	"keys":      runKeys,
+	"links":     runLinks,
 	"midanswer": runMidAnswer,
+	"recover":   runRecover,
 	"restarts":  runRestarts,
 	"storm":     runStorm,
 	"twice":     runTwice,
--- /dev/null
+++ b/review/caserun/recover.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// recoverTime is the bound recover-s of the pages.
+const recoverTime = 15 * time.Second
+
+// runRecover kills all processes at the same moment and starts them again, after the
+// configuration has grown, on machines with links of 10 Mbit/s. Without the trouble it does not
+// grow.
+func runRecover(f *fleet) bool {
+	const nodes = 3
+	for i := range 4 {
+		f.startServer(fmt.Sprint("i-desk-", i), "desk", zones[i%len(zones)], 20*time.Millisecond)
+	}
+	routes := []route{{"/desk/", "unsafe", "desk", false}}
+	f.configure("", routes...)
+	f.slowLinks()
+	f.startNodes(nodes)
+	time.Sleep(contact + time.Second)
+	for i := range growths + 1 {
+		if f.trouble {
+			routes = f.grow(routes, map[bool]int{true: growth, false: lastGrowth}[i < growths])
+		}
+		f.configure("", routes...)
+		time.Sleep(contact)
+	}
+	before := f.servedShare("before", nodes)
+
+	f.note("all processes are killed")
+	var kills sync.WaitGroup
+	for i := range nodes {
+		kills.Go(func() { f.node(i).Kill() })
+	}
+	kills.Wait()
+	time.Sleep(time.Second)
+	for i := range nodes {
+		f.specs[i].FirstStart = false
+		f.startNode(i)
+	}
+	f.note("all processes are started again")
+	time.Sleep(recoverTime)
+	after := f.servedShare("after", nodes)
+	f.note("served: %.2f of the bookings before the kill, %.2f of those sent %s or more after the start", before, after, recoverTime)
+	return before < 0.25 || after >= 0.25
+}
+
+// servedShare sends bookings and returns the share that is served.
+func (f *fleet) servedShare(name string, nodes int) float64 {
+	const bookings = 50
+	served := 0
+	for i := range bookings {
+		r := f.send(call{node: i % nodes, method: http.MethodPost, target: "/desk/x", id: fmt.Sprintf("%s-%d", name, i), body: "a booking", quiet: i >= nodes})
+		if r.status == http.StatusOK {
+			served++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return float64(served) / bookings
+}
