review/11 to 14: checks that notice when nothing runs

A last reading as an opponent: a run in which bookings were not served counted as held; bookings counted as lost without a look at whether a backend had run them; backends went on after the deadline; routes were longer than those of the wire; readiness was claimed and not asked for.

--- a/review/caserun/fleet.go
+++ b/review/caserun/fleet.go
@@ -161,7 +161,7 @@
 	seen := make(map[string]bool)
 	for _, r := range routes {
 		rules = append(rules, fmt.Sprintf(`{"name":%q,"kind":%q,"slo-s":1,"priority":1,"public":%t,"match":{"prefix":%q},
-			"action":{"service":%q,"timeout-s":2,"attempts":2}}`, r.name, r.kind, r.public, r.name, r.service))
+			"action":{"service":%q,"timeout-s":2,"attempts":2}}`, "r-"+strings.Trim(r.name, "/"), r.kind, r.public, r.name, r.service))
 		if !seen[r.service] {
 			clusters = append(clusters, fmt.Sprintf(`{"name":%q,"health-path":"/health","max-conns":50}`, r.service))
 			seen[r.service] = true
@@ -238,6 +238,17 @@
 	return r
 }
 
+// mostServed is the share of ordinary requests that have to be served for a case to say
+// anything.
+const mostServed = 0.8
+
+// requireShare ends the case as one that could not run if a share is below mostServed.
+func requireShare(what string, part, all int) {
+	if float64(part) < mostServed*float64(all) {
+		panic(notRun(fmt.Sprintf("only %d of %d %s", part, all, what)))
+	}
+}
+
 // addRun records a run.
 func (f *fleet) addRun(r run) {
 	f.mu.Lock()
@@ -335,6 +346,15 @@
 	}
 }
 
+// timeLeft returns for how long a backend may work on a request.
+func timeLeft(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(platform.HeaderTimeLeft))
+	if err != nil {
+		return time.Hour
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // beginAnswer sends the head and the first bytes of an answer.
 func (s *server) beginAnswer(w http.ResponseWriter, id string) {
 	const begun = "the first bytes"
@@ -400,6 +420,10 @@
 	}
 	select {
 	case <-time.After(s.work):
+	case <-time.After(timeLeft(r)):
+		w.Header().Set("X-Backend-Stamp", s.id+"."+id)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
 	case <-r.Context().Done():
 		return
 	}
--- a/review/caserun/link.go
+++ b/review/caserun/link.go
@@ -20,11 +20,9 @@
 	// applyTime is the bound config-apply-s, and contact-s after it.
 	applyTime = 2*time.Second + contact
 	// growth is the number of routes by which the configuration grows in each of growths
-	// changes, at most that of the site files.
+	// changes, the most in the site files. It comes near the size that the store accepts.
 	growth  = 1648
-	growths = 3
-	// lastGrowth brings it near the size that the store accepts.
-	lastGrowth = 150
+	growths = 4
 )
 
 // link carries the answers of the platform's store to one node.
@@ -92,7 +90,7 @@
 // grow returns the routes and n more, to the service of the first.
 func (f *fleet) grow(routes []route, n int) []route {
 	for range n {
-		routes = append(routes, route{fmt.Sprintf("/a/longer/prefix/of/many/%d/", len(routes)), "safe", routes[0].service, false})
+		routes = append(routes, route{fmt.Sprintf("/a%06d/", len(routes)), "safe", routes[0].service, false})
 	}
 	return routes
 }
@@ -110,9 +108,9 @@
 	f.slowLinks()
 	f.startNodes(nodes)
 	time.Sleep(contact + time.Second)
-	for i := range growths + 1 {
+	for range growths {
 		if f.trouble {
-			routes = f.grow(routes, map[bool]int{true: growth, false: lastGrowth}[i < growths])
+			routes = f.grow(routes, growth)
 		}
 		f.configure("", routes...)
 		time.Sleep(2 * contact)
@@ -121,12 +119,13 @@
 	f.configure("", routes...)
 	acknowledged := time.Now()
 	time.Sleep(applyTime)
-	old := 0
+	old, ran := 0, 0
 	for i := range asked {
 		id := fmt.Sprint("booking-", i)
 		after := time.Since(acknowledged)
 		f.send(call{node: i % nodes, method: http.MethodPost, target: "/desk/x", id: id, body: "a booking", quiet: i >= 2*nodes})
 		for _, r := range f.runsOf(id) {
+			ran++
 			if r.service == "old" {
 				old++
 			}
@@ -137,5 +136,6 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	f.note("%d of %d bookings were run by the service that the route had left %s to %s before", old, asked, applyTime, time.Since(acknowledged).Round(time.Second))
+	requireShare("bookings ran", ran, asked)
 	return old == 0
 }
--- a/review/caserun/poison.go
+++ b/review/caserun/poison.go
@@ -69,7 +69,7 @@
 
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	var lost, served, sent int
+	var asked, lost, served, sent, answered int
 	var late int
 	var third time.Time
 	clients.Go(func() {
@@ -84,9 +84,11 @@
 				continue
 			}
 			id, at := fmt.Sprint("bad-", i), time.Now()
-			f.send(call{node: n, method: http.MethodPost, target: "/desk/x", id: id, body: body})
-			runs := f.runsOf(id)
-			if len(runs) == 0 || body != poisonBody {
+			r := f.send(call{node: n, method: http.MethodPost, target: "/desk/x", id: id, body: body})
+			if r.status == http.StatusOK {
+				answered++
+			}
+			if len(f.runsOf(id)) == 0 || r.status == http.StatusOK {
 				continue
 			}
 			switch sent++; {
@@ -113,10 +115,12 @@
 				}
 				id := fmt.Sprintf("good-%d-%d", c, i)
 				r := f.send(call{node: n, method: http.MethodPost, target: "/desk/x", id: id, body: "a booking", quiet: true})
+				ran := len(f.runsOf(id)) > 0
 				f.mu.Lock()
+				asked++
 				if r.status == http.StatusOK {
 					served++
-				} else if r.status != http.StatusServiceUnavailable {
+				} else if ran {
 					lost++
 				}
 				f.mu.Unlock()
@@ -128,7 +132,9 @@
 	time.Sleep(5 * time.Second)
 	close(stop)
 	clients.Wait()
-	f.note("the poison request reached backends %d times, %d of them in retries later than contact-s after the third crash", sent, late)
-	f.note("other bookings: %d served, %d run and lost or of unknown fate", served, lost)
+	f.note("the repeated request ran without a 200 %d times, %d of them in retries later than contact-s after the third crash", sent, late)
+	f.note("the repeated request was answered 200 %d times", answered)
+	f.note("other bookings: %d of %d served, %d run by a backend and not answered 200", served, asked, lost)
+	requireShare("other bookings were served", served, asked)
 	return late <= allowedRetries
 }
--- a/review/caserun/recover.go
+++ b/review/caserun/recover.go
@@ -23,9 +23,9 @@
 	f.slowLinks()
 	f.startNodes(nodes)
 	time.Sleep(contact + time.Second)
-	for i := range growths + 1 {
+	for range growths {
 		if f.trouble {
-			routes = f.grow(routes, map[bool]int{true: growth, false: lastGrowth}[i < growths])
+			routes = f.grow(routes, growth)
 		}
 		f.configure("", routes...)
 		time.Sleep(contact)
@@ -47,19 +47,34 @@
 	time.Sleep(recoverTime)
 	after := f.servedShare("after", nodes)
 	f.note("served: %.2f of the bookings before the kill, %.2f of those sent %s or more after the start", before, after, recoverTime)
-	return before < 0.25 || after >= 0.25
+	requireShare("percent of the bookings were served before the kill", int(100*before), 100)
+	return after >= 0.25
+}
+
+// readiness asks each node whether it is ready and returns the statuses; 0 is no answer.
+func (f *fleet) readiness(nodes int) []int {
+	list := make([]int, nodes)
+	for i := range list {
+		if resp, err := http.Get("http://" + f.specs[i].Ready + "/ready"); err == nil {
+			list[i] = resp.StatusCode
+			_ = resp.Body.Close()
+		}
+	}
+	return list
 }
 
 // servedShare sends bookings and returns the share that is served.
 func (f *fleet) servedShare(name string, nodes int) float64 {
 	const bookings = 50
-	served := 0
+	served, statuses := 0, make(map[int]int)
 	for i := range bookings {
 		r := f.send(call{node: i % nodes, method: http.MethodPost, target: "/desk/x", id: fmt.Sprintf("%s-%d", name, i), body: "a booking", quiet: i >= nodes})
+		statuses[r.status]++
 		if r.status == http.StatusOK {
 			served++
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	f.note("%s the kill: bookings by status %v, nodes ready %v", name, statuses, f.readiness(nodes))
 	return float64(served) / bookings
 }
