fleet/delta: the difference of texts as a package, also for JSON

No change for nodes of serve: sections of INI are what they were, since a Delta names them by their index. Texts of JSON have a section for each object. A section that occurs more than once continues the run that the edit before it copies.

Gateway nodes are to send configurations as differences (docs/design/store-content.md).

--- a/fleet/document.go
+++ b/fleet/document.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"filbertmill.example/fleet/delta"
 )
 
 // ConfigurationKey is the key of the newest configuration in the store.
@@ -65,8 +67,8 @@
 	Time     time.Time `cbor:"5,keyasint"`
 	Deflated []byte    `cbor:"6,keyasint,omitempty"`
 	// Base is the version to which Delta applies; zero if there is no delta.
-	Base  Version `cbor:"7,keyasint"`
-	Delta delta   `cbor:"8,keyasint"`
+	Base  Version     `cbor:"7,keyasint"`
+	Delta delta.Delta `cbor:"8,keyasint"`
 }
 
 // packHeader returns the packed document without its text.
@@ -78,7 +80,7 @@
 func (d Document) packFull() (packedDocument, error) {
 	p := d.packHeader()
 	var err error
-	p.Deflated, err = deflate(d.Text)
+	p.Deflated, err = delta.Deflate(d.Text)
 	return p, err
 }
 
@@ -86,12 +88,12 @@
 func (d Document) packDelta(base Document) packedDocument {
 	p := d.packHeader()
 	p.Base = base.Version
-	p.Delta = diffText(base.Text, d.Text)
+	p.Delta = delta.Make(base.Text, d.Text, delta.INI)
 	return p
 }
 
 // unpack returns the document. base is the document that the receiver has; a
-// delta from any other version fails with errDelta.
+// delta from any other version fails with delta.ErrMismatch.
 func (p packedDocument) unpack(base Document) (Document, error) {
 	d := Document{Version: p.Version, Previous: p.Previous, Author: p.Author, Note: p.Note, Time: p.Time}
 	if d.Version.Revision <= 0 || d.Version.ChangeID == "" {
@@ -100,11 +102,11 @@
 	var err error
 	switch {
 	case p.Base == Version{}:
-		d.Text, err = inflate(p.Deflated)
+		d.Text, err = delta.Inflate(p.Deflated)
 	case p.Base != base.Version:
-		err = errDelta
+		err = delta.ErrMismatch
 	default:
-		d.Text, err = p.Delta.apply(base.Text)
+		d.Text, err = p.Delta.Apply(base.Text, delta.INI)
 	}
 	return d, err
 }
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -9,6 +9,7 @@
 	"filbertmill.example/config/dynamic"
 	"filbertmill.example/event"
 	"filbertmill.example/fleet/control"
+	"filbertmill.example/fleet/delta"
 )
 
 const (
@@ -92,7 +93,7 @@
 	defer cancel()
 	have := a.inForce.Load().document
 	d, err := a.requestDocument(ctx, peer, have)
-	if errors.Is(err, errDelta) {
+	if errors.Is(err, delta.ErrMismatch) {
 		d, err = a.requestDocument(ctx, peer, Document{})
 	}
 	if err != nil {
