gateway/follow, platform: reads of the store go on as long as bytes arrive

Cause: a read of the store had 0.9 s whatever its size, and the answer to a watch 150 ms after the store's revision had moved. Each read ended before its last byte, and the next one began with the first.

Change: what distinguishes a slow answer from a dead store is whether bytes arrive. The answer has to begin within 0.9 s and must not pause for longer (platform.Patience). A watch whose answer is arriving has not stalled, and a check that fails meanwhile does not end it. A read that fails keeps its pages for 5 s and goes on behind the last one (platform.Listing).

--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -47,8 +47,8 @@
 // Store is the part of the client of the platform's store that a Follower needs.
 type Store interface {
 	Range(ctx context.Context, prefix, after string) (platform.Page, error)
-	RangeAll(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error)
-	WatchPrefix(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Item, platform.Revision, error)
+	ReadListing(ctx context.Context, l *platform.Listing, patience platform.Patience) error
+	WatchPrefix(ctx context.Context, prefix string, after platform.Revision, wait time.Duration, patience platform.Patience) ([]platform.Item, platform.Revision, error)
 	Txn(ctx context.Context, expect map[string]platform.Revision, puts []platform.Put) (platform.Revision, error)
 }
 
@@ -74,6 +74,9 @@
 	leaving atomic.Bool
 	relays  atomic.Pointer[[]replica.Node]
 
+	// reading is the read of the store that goes on. Only followStore uses it.
+	reading *reading
+
 	mu            sync.Mutex
 	feeds         map[string]*feed
 	outages       map[string]*outage
--- a/gateway/follow/losses_test.go
+++ b/gateway/follow/losses_test.go
@@ -94,6 +94,25 @@
 	m.run(t, transport)
 }
 
+// restart starts all members again, at other addresses and with the links to the store
+// that they had.
+func (f *proxiedFleet) restart(t *testing.T) []*proxiedMember {
+	t.Helper()
+	restarted := make([]*proxiedMember, len(f.members))
+	listeners, seeds := make([]net.Listener, len(f.members)), make([]string, len(f.members))
+	for i, m := range f.members {
+		var err error
+		listeners[i], err = net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		restarted[i] = &proxiedMember{inbound: startProxy(t, listeners[i].Addr().String()), store: m.store}
+		seeds[i] = restarted[i].inbound.Address()
+	}
+	for i, m := range restarted {
+		m.start(t, i, listeners[i], seeds)
+	}
+	return restarted
+}
+
 // lists reports whether the member's replica lists a target.
 func (m *member) lists(id string) bool {
 	return slices.ContainsFunc(m.replica.View().Targets["s"], func(t platform.Target) bool { return t.ID == id })
--- a/gateway/follow/register.go
+++ b/gateway/follow/register.go
@@ -33,7 +33,7 @@
 
 // register writes this node's entry.
 func (f *Follower) register(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	self := f.cfg.Self
 	rev, err := f.cfg.Store.Txn(ctx, nil, []platform.Put{{Key: self.Key(), Value: self.Encode()}})
--- a/gateway/follow/store.go
+++ b/gateway/follow/store.go
@@ -18,12 +18,14 @@
 )
 
 const (
-	// readTimeout is the time in which a full snapshot must be read.
-	readTimeout = 900 * time.Millisecond
+	// callTimeout is the time in which the answer to a call must begin to arrive, and the
+	// longest time without a byte of it after that.
+	callTimeout = 900 * time.Millisecond
+	// readingLife is how long after its start a read of the store may go on from the pages
+	// that it has: the changes since its first page have to be in the store's history.
+	readingLife = 5 * time.Second
 	// watchWait is how long the store may hold one watch call without a change.
 	watchWait = 25 * time.Second
-	// watchGrace is how long after watchWait the answer to a watch call may arrive.
-	watchGrace = time.Second
 	// checkInterval is how often a relay reads the store's revision: a watch may
 	// stall without an error, and changes must be in force within two seconds.
 	checkInterval = time.Second
@@ -125,22 +127,37 @@
 	}
 }
 
-// readSnapshot reads a full snapshot of the store into the replica.
+// reading is a read of the store that may have failed within.
+type reading struct {
+	listing *platform.Listing
+	start   callStart
+}
+
+// patience returns the limits of a call to the store, whose answer may be large and the
+// link thin.
+func patience() platform.Patience {
+	return platform.Patience{Begin: callTimeout, Silence: callTimeout}
+}
+
+// readSnapshot reads a full snapshot of the store into the replica. After a failure, the
+// next call goes on with the pages that this one has read.
 func (f *Follower) readSnapshot(ctx context.Context) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	age, start := f.CopyAge(), startCall()
-	content, at, err := f.cfg.Store.RangeAll(ctx, allKeys)
-	if err != nil {
+	if f.reading == nil || time.Since(f.reading.start.time()) > readingLife {
+		f.reading = &reading{listing: platform.NewListing(allKeys), start: startCall()}
+	}
+	r, age := f.reading, f.CopyAge()
+	if err := f.cfg.Store.ReadListing(ctx, r.listing, patience()); err != nil {
 		return 0, err
 	}
+	f.reading = nil
+	at := r.listing.Revision
 	if age >= neverConfirmed {
 		f.cfg.Log.Info("store read for the first time", "revision", at)
 	} else {
-		f.cfg.Log.Info("store read", "revision", at, "copy_age_ms", age.Milliseconds())
+		f.cfg.Log.Info("store read", "revision", at, "copy_age_ms", age.Milliseconds(), "took_ms", time.Since(r.start.at).Milliseconds())
 	}
-	f.cfg.Replica.Replace(sourceRead, content, at, f.beginOutageGrace())
-	f.recordConfirmation(start.time())
+	f.cfg.Replica.Replace(sourceRead, r.listing.Items, at, f.beginOutageGrace())
+	f.recordConfirmation(r.start.time())
 	f.recordRead()
 	return at, nil
 }
@@ -165,17 +182,25 @@
 func (f *Follower) checkWatch(ctx context.Context, w *watch) error {
 	asked, err := f.askRevision(ctx)
 	if err != nil {
+		if w.arriving() {
+			return nil
+		}
 		return err
 	}
 	return f.awaitWatch(ctx, w, asked)
 }
 
 // awaitWatch waits until the watch has delivered the changes up to a revision of the
-// store, which confirms the replica.
+// store, which confirms the replica. It does not wait for a large answer that is arriving,
+// whose end confirms the replica, too.
 func (f *Follower) awaitWatch(ctx context.Context, w *watch, asked revisionAnswer) error {
 	if int64(asked.revision) > w.at.Load() {
 		sleep(ctx, watchDeliveryTime)
-		if int64(asked.revision) > w.at.Load() {
+		switch {
+		case int64(asked.revision) <= w.at.Load():
+		case w.arriving():
+			return nil
+		default:
 			return errWatchStalled
 		}
 	}
--- a/gateway/follow/watch.go
+++ b/gateway/follow/watch.go
@@ -11,22 +11,27 @@
 type watch struct {
 	follower *Follower
 	// at is the store revision up to which changes were delivered.
-	at    atomic.Int64
-	ended chan error
+	at atomic.Int64
+	// receiving is set while an answer arrives.
+	receiving atomic.Bool
+	ended     chan error
 }
 
+// arriving reports whether an answer is arriving. If no bytes of it do, the call fails.
+func (w *watch) arriving() bool { return w.receiving.Load() }
+
 // run watches until a call fails.
 func (w *watch) run(ctx context.Context) error {
 	for {
-		start := startCall()
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
-		changes, next, err := w.follower.cfg.Store.WatchPrefix(callCtx, allKeys, platform.Revision(w.at.Load()), watchWait)
-		cancel()
+		start, limits := startCall(), patience()
+		limits.OnBytes = func() { w.receiving.Store(true) }
+		changes, next, err := w.follower.cfg.Store.WatchPrefix(ctx, allKeys, platform.Revision(w.at.Load()), watchWait, limits)
 		if err != nil {
 			return err
 		}
 		w.follower.cfg.Replica.Apply(sourceWatch, changes, next)
 		w.at.Store(int64(next))
+		w.receiving.Store(false)
 		w.follower.recordConfirmation(start.time())
 		sleep(ctx, batchInterval)
 	}
--- a/testbed/faultproxy/fault.go
+++ b/testbed/faultproxy/fault.go
@@ -25,6 +25,9 @@
 	BlackHole bool `json:"black_hole,omitempty"`
 	// Hold buffers the segments until Release.
 	Hold bool `json:"hold,omitempty"`
+	// BytesPerSecond is the bandwidth that all connections share in the direction; 0 does
+	// not limit it.
+	BytesPerSecond int64 `json:"bytes_per_second,omitempty"`
 	// TruncateAfter closes a connection after that many bytes; 0 means never.
 	TruncateAfter int64 `json:"truncate_after,omitempty"`
 }
--- a/testbed/faultproxy/link.go
+++ b/testbed/faultproxy/link.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// segmentBytes is the most bytes that one read takes.
+	// segmentBytes is the most bytes that one read takes. Connections that share a
+	// bandwidth take turns after each read.
 	segmentBytes = 32 << 10
 	// pipeSegments is the most segments queued in one direction of a link.
 	pipeSegments = 256
@@ -108,6 +109,7 @@
 	ended := false
 	for s := range p.queue {
 		pause.Until(s.due)
+		pause.Until(p.link.proxy.transmit(p.direction, len(s.data)))
 		ended = len(s.data) == 0
 		lost = p.link.proxy.drop(p.direction, lost, len(s.data))
 		if lost {
--- a/testbed/faultproxy/proxy.go
+++ b/testbed/faultproxy/proxy.go
@@ -20,6 +20,8 @@
 	faults [directionCount]Fault
 	held   [directionCount][]heldSegment
 	lost   [directionCount]int64
+	// sentAt is when a direction with a bandwidth will have transmitted all so far.
+	sentAt [directionCount]time.Time
 	links  map[*link]struct{}
 	refuse bool
 	closed bool
@@ -187,6 +189,21 @@
 	return true
 }
 
+// transmit returns when n more bytes will have been transmitted in a direction.
+func (p *Proxy) transmit(d Direction, n int) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if rate := p.faults[d].BytesPerSecond; rate > 0 {
+		if p.sentAt[d].Before(now) {
+			p.sentAt[d] = now
+		}
+		p.sentAt[d] = p.sentAt[d].Add(time.Duration(n) * time.Second / time.Duration(rate))
+		return p.sentAt[d]
+	}
+	return now
+}
+
 func (p *Proxy) forget(l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
