gateway: large values go between nodes as differences, in parts that resume

Cause: a relay put each version that a node had missed into one message, though only the newest counts.

Change (docs/design/store-content.md): the log of changes names keys and revisions, so that a node gets the newest entry of each key once; values above 4 KiB are announced and fetched by calls of their own, as the difference from the version that the node has, compressed, in parts of 32 KiB that resume at any relay; a relay paces parts by its link. Polls go on meanwhile, so that news of targets does not wait. A copy counts as complete, and is passed on and confirmed, once all announced values are there.

Between nodes of different versions the old form is sent.

--- a/fleet/control/conn.go
+++ b/fleet/control/conn.go
@@ -24,8 +24,12 @@
 	maxSilence = 600 * time.Millisecond
 )
 
-// ErrClosed reports that a connection, a transport or an agent has ended.
-var ErrClosed = errors.New("control connection closed")
+var (
+	// ErrClosed reports that a connection, a transport or an agent has ended.
+	ErrClosed = errors.New("control connection closed")
+	// ErrSilent reports a call whose peer has sent nothing for some time.
+	ErrSilent = errors.New("nothing arrives on the control connection")
+)
 
 // RemoteError is an error that the called node returned.
 type RemoteError struct {
@@ -212,8 +216,9 @@
 	return nil
 }
 
-// call sends a message and waits for its reply.
-func (c *conn) call(ctx context.Context, kind Kind, body cbor.RawMessage) (Envelope, error) {
+// call sends a message and waits for its reply. If silence is not 0, it gives up when no
+// message has arrived on the connection for that time.
+func (c *conn) call(ctx context.Context, kind Kind, body cbor.RawMessage, silence time.Duration) (Envelope, error) {
 	ch := make(chan Envelope, 1)
 	c.mu.Lock()
 	c.nextID++
@@ -228,12 +233,31 @@
 	if err := c.write(ctx, Envelope{Version: Version, Kind: kind, ID: id, Body: body}); err != nil {
 		return Envelope{}, err
 	}
-	select {
-	case e := <-ch:
-		return e, nil
-	case <-c.done:
-		return Envelope{}, errors.Wrapf(ErrClosed, "call %s", c.peer)
-	case <-ctx.Done():
-		return Envelope{}, errors.Wrapf(ctx.Err(), "call %s", c.peer)
+	start, quiet := time.Now(), make(<-chan time.Time)
+	if silence > 0 {
+		quiet = time.After(silence)
+	}
+	for {
+		select {
+		case e := <-ch:
+			return e, nil
+		case <-c.done:
+			return Envelope{}, errors.Wrapf(ErrClosed, "call %s", c.peer)
+		case <-ctx.Done():
+			return Envelope{}, errors.Wrapf(ctx.Err(), "call %s", c.peer)
+		case now := <-quiet:
+			left := silence - now.Sub(later(start, time.Unix(0, c.lastRead.Load())))
+			if left <= 0 {
+				return Envelope{}, errors.Wrapf(ErrSilent, "call %s", c.peer)
+			}
+			quiet = time.After(left)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
--- a/fleet/control/transport.go
+++ b/fleet/control/transport.go
@@ -178,15 +178,31 @@
 // Call sends a message and decodes the answer into reply, unless reply is nil.
 // An error that the other node returns is a *RemoteError.
 func (t *Transport) Call(ctx context.Context, to Peer, kind Kind, msg, reply any) error {
+	return t.call(ctx, to, kind, msg, reply, 0)
+}
+
+// CallPatiently is like Call, but gives up when it has no connection or no message of the
+// peer has arrived for the given time, though not while other messages arrive: the answer
+// may be behind them.
+func (t *Transport) CallPatiently(ctx context.Context, to Peer, kind Kind, msg, reply any, silence time.Duration) error {
+	return t.call(ctx, to, kind, msg, reply, silence)
+}
+
+func (t *Transport) call(ctx context.Context, to Peer, kind Kind, msg, reply any, silence time.Duration) error {
 	body, err := encoding.Marshal(msg)
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
-	c, err := t.connect(ctx, to)
+	connecting, cancel := ctx, context.CancelFunc(func() {})
+	if silence > 0 {
+		connecting, cancel = context.WithTimeout(ctx, silence)
+	}
+	c, err := t.connect(connecting, to)
+	cancel()
 	if err != nil {
 		return err
 	}
-	e, err := c.call(ctx, kind, body)
+	e, err := c.call(ctx, kind, body, silence)
 	if err != nil {
 		c.closeIfSilent(time.Now())
 		return err
--- a/fleet/control/transport_test.go
+++ b/fleet/control/transport_test.go
@@ -55,6 +55,35 @@
 	return ctx
 }
 
+// TestPatientCallWaitsBehindOtherMessages guards against a peer that counts as lost because
+// its answer is behind large messages on a thin link.
+func TestPatientCallWaitsBehindOtherMessages(t *testing.T) {
+	const silence = 150 * time.Millisecond
+	a, _ := startTransport(t, "a", testKey)
+	b, toB := startTransport(t, "b", testKey)
+	b.Handle("echo", echo)
+	b.Handle("late", func(ctx context.Context, _ string, _ []byte) (any, error) {
+		time.Sleep(3 * silence)
+		return ping{}, nil
+	})
+	ctx := testContext(t)
+	qt.Check(t, a.Call(ctx, toB, "echo", ping{}, nil), qt.IsNil)
+	start := time.Now()
+	err := a.CallPatiently(ctx, toB, "late", ping{}, nil, silence)
+	qt.Check(t, errors.Is(err, ErrSilent), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, time.Since(start) < 3*silence, qt.IsTrue)
+
+	others, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		for others.Err() == nil {
+			_ = a.Call(others, toB, "echo", ping{}, nil)
+			time.Sleep(silence / 5)
+		}
+	}()
+	qt.Check(t, a.CallPatiently(ctx, toB, "late", ping{}, nil, silence), qt.IsNil)
+}
+
 func TestCallAndSend(t *testing.T) {
 	a, _ := startTransport(t, "a", testKey)
 	b, toB := startTransport(t, "b", testKey)
--- a/gateway/follow/confirmation.go
+++ b/gateway/follow/confirmation.go
@@ -42,6 +42,8 @@
 	// last is the latest confirmation, and lastByRelay the latest that came from a
 	// relay. They are zero if there is none.
 	last, lastByRelay time.Time
+	// listed is the latest time at which, by a relay, only announced values were missing.
+	listed time.Time
 	// unbrokenSince is since when no two confirmations are further apart than
 	// maxCopyAge.
 	unbrokenSince time.Time
@@ -72,6 +74,24 @@
 	c.renewed = make(chan struct{})
 }
 
+// recordListed records a time at which the copy held all but the announced values. The
+// relay has done its part, so that it counts as its confirmation.
+func (c *confirmations) recordListed(at time.Time) {
+	if at.After(c.listed) {
+		c.listed = at
+	}
+	if at.After(c.lastByRelay) {
+		c.lastByRelay = at
+	}
+}
+
+// complete records that the announced values have arrived.
+func (c *confirmations) complete() {
+	if !c.listed.IsZero() {
+		c.record(c.listed, true)
+	}
+}
+
 // adjust moves all times back by the time for which the host was suspended in the
 // meantime, so that ages count it.
 func (c *confirmations) adjust() {
@@ -80,7 +100,7 @@
 		return
 	}
 	c.suspended += d
-	for _, t := range []*time.Time{&c.last, &c.lastByRelay, &c.unbrokenSince, &c.failedAt, &c.outageFrom} {
+	for _, t := range []*time.Time{&c.last, &c.lastByRelay, &c.listed, &c.unbrokenSince, &c.failedAt, &c.outageFrom} {
 		if !t.IsZero() {
 			*t = t.Add(-d)
 		}
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -25,6 +25,9 @@
 	// pollGrace is how long after its wait the answer to a poll may arrive: a relay
 	// whose host gets no processor time for 100 ms has not failed.
 	pollGrace = 350 * time.Millisecond
+	// pollPatience is how long the answer is waited for beyond that while other messages
+	// of the relay arrive, as it may be behind them on a thin link.
+	pollPatience = 1500 * time.Millisecond
 )
 
 // feed is the state of the polls of one relay.
@@ -105,14 +108,14 @@
 
 // poll calls a relay once.
 func (f *Follower) poll(ctx context.Context, n replica.Node, hold, timeout time.Duration, noticeOnly bool) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	polling, cancel := context.WithTimeout(ctx, timeout+pollPatience)
 	defer cancel()
 	var reply changesReply
 	view := f.cfg.Replica.View()
 	start := startCall()
-	err := f.cfg.Transport.Call(ctx, peerOf(n), kindChanges, changesRequest{
-		After: view.Revision, Checksum: view.Checksum, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.CopyAge(),
-	}, &reply)
+	err := f.cfg.Transport.CallPatiently(polling, peerOf(n), kindChanges, changesRequest{
+		After: view.Listed, Checksum: view.Checksum, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.CopyAge(), Fetches: true,
+	}, &reply, timeout)
 	if err != nil {
 		return answer{}, err
 	}
@@ -128,16 +131,21 @@
 	}
 	// A relay of an earlier version does not mark its notices.
 	if !noticeOnly && !reply.Notice {
-		a.content = &replica.Delta{Items: reply.Changes, Through: reply.Through, Snapshot: reply.Snapshot, Lapsed: reply.Lapsed}
+		a.content = &replica.Delta{
+			Items: reply.Changes, Announced: reply.Announced, Through: reply.Through, Snapshot: reply.Snapshot, Lapsed: reply.Lapsed,
+		}
+		if reply.List.ID != 0 {
+			a.content.Items, err = f.fetchList(ctx, n, reply.List)
+		}
 	}
-	return a, nil
+	return a, err
 }
 
 // logLeaving logs what the last answer of a relay holds.
 func (f *Follower) logLeaving(relay string, a answer) {
 	fields := []any{"relay", relay, "notice_only", a.content == nil, "revision", a.through, "store_age_ms", a.age.Milliseconds()}
 	if a.content != nil {
-		fields = append(fields, "snapshot", a.content.Snapshot, "items", len(a.content.Items))
+		fields = append(fields, "snapshot", a.content.Snapshot, "items", len(a.content.Items), "announced", len(a.content.Announced))
 	}
 	f.cfg.Log.Info("relay is shutting down", fields...)
 }
@@ -145,7 +153,7 @@
 // accepts reports whether this node may use an answer. A node that starts takes no old
 // copy while the store may serve it a current one.
 func (f *Follower) accepts(a answer) bool {
-	return a.age < maxCopyAge || f.cfg.Replica.View().Revision > 0 || f.storeHasFailed()
+	return a.age < maxCopyAge || f.cfg.Replica.View().Listed > 0 || f.storeHasFailed()
 }
 
 // refreshCopy asks the relays to confirm this node's copy when it gets old, because a
@@ -178,20 +186,20 @@
 	return fd != nil && !fd.lastAnswer.IsZero() && fd.age < maxCopyAge
 }
 
-// awaitRevision waits until this node's replica has reached a revision. It returns
-// false if noticeWait passes before.
+// awaitRevision waits until this node's replica lists all changes up to a revision. It
+// returns false if noticeWait passes before.
 func (f *Follower) awaitRevision(ctx context.Context, at platform.Revision) bool {
 	timer := time.NewTimer(noticeWait)
 	defer timer.Stop()
 	for {
 		changed := f.cfg.Replica.Changed()
-		if f.cfg.Replica.View().Revision >= at {
+		if f.cfg.Replica.View().Listed >= at {
 			return true
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return f.cfg.Replica.View().Revision >= at
+			return f.cfg.Replica.View().Listed >= at
 		case <-ctx.Done():
 			return false
 		}
@@ -218,16 +226,23 @@
 	if a.content == nil || !f.accepts(a) {
 		return
 	}
+	if len(a.content.Announced) > 0 && len(f.cfg.Replica.View().Announced) == 0 {
+		f.recordValueProgress()
+	}
 	f.cfg.Replica.Merge(sourceRelay+relay, *a.content)
 	f.confirmByRelay(relay, a)
 }
 
 // confirmByRelay records what a relay's answer says of this node's replica, which
-// contains all changes up to the revision of the answer.
+// contains all changes up to the revision of the answer but for announced values.
 func (f *Follower) confirmByRelay(relay string, a answer) {
 	f.mu.Lock()
 	f.confirmations.adjust()
-	f.confirmations.record(a.confirmedAt, true)
+	if len(f.cfg.Replica.View().Announced) > 0 {
+		f.confirmations.recordListed(a.confirmedAt)
+	} else {
+		f.confirmations.record(a.confirmedAt, true)
+	}
 	f.mu.Unlock()
 	if a.age < maxCopyAge && f.servedDuringOutage(a.unbrokenSince) {
 		f.cfg.Replica.EndLapses(sourceRelay + relay)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"filbertmill.example/fleet/control"
+	"filbertmill.example/gateway/content"
 	"filbertmill.example/gateway/replica"
 	"filbertmill.example/gateway/suspend"
 	"filbertmill.example/platform"
@@ -74,6 +75,10 @@
 	leaving atomic.Bool
 	relays  atomic.Pointer[[]replica.Node]
 
+	// shelf holds encoded content for other nodes, and pacer spreads it by this node's
+	// link.
+	shelf content.Shelf
+	pacer *content.Pacer
 	// reading is the read of the store that goes on. Only followStore uses it.
 	reading *reading
 
@@ -91,6 +96,8 @@
 	// when that was last found.
 	readDue   bool
 	checkedAt time.Time
+	// valueProgressAt is when the fetch of an announced value last got further.
+	valueProgressAt time.Time
 	// registrationSeenAt is when this node first saw its own registration in its
 	// replica.
 	registrationSeenAt time.Time
@@ -111,10 +118,13 @@
 	f := &Follower{
 		cfg: cfg, started: time.Now(), feeds: make(map[string]*feed), outages: make(map[string]*outage),
 		searching:     make(map[string]bool),
+		pacer:         content.NewPacer(cfg.Self.LinkMbps),
 		confirmations: confirmations{renewed: make(chan struct{}), suspended: suspend.Total()},
 	}
 	f.relays.Store(&[]replica.Node{})
 	cfg.Transport.Handle(kindChanges, f.serveChanges)
+	cfg.Transport.Handle(kindValue, f.serveValue)
+	cfg.Transport.Handle(kindList, f.serveList)
 	return f
 }
 
@@ -125,6 +135,7 @@
 	f.mu.Unlock()
 	go f.followStore(ctx)
 	go f.keepRegistered(ctx)
+	go f.fetchValues(ctx)
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	for {
@@ -339,7 +350,7 @@
 func (f *Follower) needsStore(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.readDue || now.Sub(f.lastPolled) < relayIdleTime {
+	if f.readDue || now.Sub(f.lastPolled) < relayIdleTime || f.valuesStuck(now) {
 		return true
 	}
 	relays, _ := f.candidates(now)
--- a/gateway/follow/fuzz_test.go
+++ b/gateway/follow/fuzz_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 
+	"filbertmill.example/gateway/content"
 	"filbertmill.example/gateway/replica"
 	"filbertmill.example/platform"
 )
@@ -25,6 +26,8 @@
 		{Changes: []platform.Item{{Key: platform.ConfigurationKey, Value: []byte(`{"version":"00000001"}`), Revision: 9}}, Through: 9},
 		{Through: 9, Age: -time.Hour},
 		{Through: 9, Held: -time.Hour, Unbroken: -time.Hour},
+		{Through: 9, Announced: []replica.Announcement{{Key: platform.ConfigurationKey, Revision: 9}}, Snapshot: true},
+		{Through: 9, List: content.Part{ID: 1, Bytes: []byte{1}, Size: 1}},
 		{Through: 9, Leaving: true, Notice: true, Differs: true, Held: time.Second, Unbroken: time.Hour},
 	} {
 		data, err := cbor.Marshal(reply)
--- a/gateway/follow/order.go
+++ b/gateway/follow/order.go
@@ -10,11 +10,12 @@
 )
 
 // RankRelays returns nodes in the order in which they become relays: those with the
-// largest CPU share first, and equal ones by a hash of their names.
+// largest CPU share first, of equal ones those with the largest bandwidth, and equal ones
+// by a hash of their names.
 func RankRelays(nodes []replica.Node) []replica.Node {
 	ranked := slices.Clone(nodes)
 	slices.SortFunc(ranked, func(a, b replica.Node) int {
-		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	return ranked
 }
--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"filbertmill.example/fleet/control"
+	"filbertmill.example/gateway/content"
+	"filbertmill.example/gateway/replica"
 	"filbertmill.example/platform"
 )
 
@@ -31,6 +33,8 @@
 	// Checksum is that of the node's replica at the revision After, or 0 if the replica
 	// cannot be compared.
 	Checksum uint64 `cbor:"7,keyasint,omitempty"`
+	// Fetches is set if the node can fetch announced values and lists.
+	Fetches bool `cbor:"8,keyasint,omitempty"`
 }
 
 // changesReply answers a changesRequest.
@@ -56,6 +60,10 @@
 	Notice bool `cbor:"9,keyasint,omitempty"`
 	// Differs is set if the relay's replica has the revision After and another checksum.
 	Differs bool `cbor:"10,keyasint,omitempty"`
+	// Announced lists the changes whose values are to be fetched with kindValue.
+	Announced []replica.Announcement `cbor:"11,keyasint,omitempty"`
+	// List is the first part of Changes if they are sent in parts, by kindList.
+	List content.Part `cbor:"12,keyasint,omitzero"`
 
 	// hasChanges is set if there are changes, sent or not.
 	hasChanges bool
@@ -89,6 +97,9 @@
 			if reply.Differs {
 				f.checkCopy(from)
 			}
+			if req.Fetches {
+				return f.inParts(reply)
+			}
 			return reply, nil
 		}
 		if req.NoticeOnly {
--- a/gateway/follow/thinlinks_test.go
+++ b/gateway/follow/thinlinks_test.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -63,6 +64,37 @@
 	return int64(cfg.Revision)
 }
 
+// TestLargeVersionsThatWereMissedArriveThroughARelay guards against a node that never
+// catches up, because a relay answers it with each version that it missed, in a message
+// that exceeds the limit.
+func TestLargeVersionsThatWereMissedArriveThroughARelay(t *testing.T) {
+	t.Parallel()
+	fleet := startProxiedFleet(t, 6)
+	relays, others := fleet.relays()
+	for _, m := range others {
+		silence(m.store)
+	}
+	for _, m := range relays {
+		silence(m.inbound)
+		m.inbound.Cut()
+	}
+	for version := 2; version <= 4; version++ {
+		putConfiguration(t, fleet.client, largeConfiguration(version, 500<<10, 1))
+		for _, m := range relays {
+			await(t, m.follower.cfg.Self.Name+" has the version", thinApplyLimit, func() bool { return m.version() == int64(version) })
+		}
+	}
+	for _, m := range relays {
+		m.inbound.Set(faultproxy.ToUpstream, faultproxy.Fault{})
+		m.inbound.Set(faultproxy.ToCaller, faultproxy.Fault{})
+		m.inbound.Cut()
+	}
+	healed := time.Now()
+	for _, m := range others {
+		await(t, m.follower.cfg.Self.Name+" has the latest version", relayBackoffMax+thinApplyLimit-time.Since(healed), func() bool { return m.version() == 4 })
+	}
+}
+
 // TestLargeConfigurationArrivesOverThinLinks guards against a configuration that never
 // arrives over links to the store on which one read takes longer than a fixed time limit.
 func TestLargeConfigurationArrivesOverThinLinks(t *testing.T) {
@@ -97,3 +129,29 @@
 		await(t, m.follower.cfg.Self.Name+" has the configuration", recoveryLimit-time.Since(started), func() bool { return m.version() == 2 })
 	}
 }
+
+// TestNewsOfTargetsPassALargeConfiguration guards against targets that stay in use after
+// they have left, because that news waits behind a configuration on a relay's thin link.
+func TestNewsOfTargetsPassALargeConfiguration(t *testing.T) {
+	t.Parallel()
+	fleet := startProxiedFleet(t, 12)
+	relays, others := fleet.relays()
+	for _, m := range others {
+		silence(m.store)
+	}
+	for _, m := range relays {
+		thin(m.inbound)
+	}
+	putConfiguration(t, fleet.client, largeConfiguration(2, platform.MaxValueBytes, 1))
+	putConfiguration(t, fleet.client, largeConfiguration(3, platform.MaxValueBytes, 2))
+	fleet.standin.Store.ExpireLeases()
+	left := time.Now()
+	for _, m := range others {
+		await(t, m.follower.cfg.Self.Name+" drops the target that is gone", propagationLimit-time.Since(left), func() bool { return !m.lists("leased") })
+	}
+	for _, m := range others {
+		await(t, m.follower.cfg.Self.Name+" has the configuration", recoveryLimit-time.Since(left), func() bool { return m.version() == 3 })
+	}
+	qt.Check(t, slices.ContainsFunc(others, func(m *proxiedMember) bool { return len(m.follower.Relays()) < 2 }), qt.IsFalse,
+		qt.Commentf("relays that send a large value count as lost"))
+}
--- a/gateway/replica/checksum.go
+++ b/gateway/replica/checksum.go
@@ -15,7 +15,7 @@
 // checksum returns the checksum of the copy, or 0 if it holds entries beyond its revision:
 // a snapshot is read page by page, and its later pages may be newer.
 func (r *Replica) checksum() uint64 {
-	if r.highest > r.revision {
+	if r.highest > r.revision || len(r.announced) > 0 {
 		return 0
 	}
 	return r.sum
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -27,10 +27,21 @@
 // node that is further behind gets a full snapshot.
 const maxChanges = 4096
 
+// change is an entry of the log of changes. The value is in the copy only: an entry of a
+// key that has changed again means nothing.
+type change struct {
+	key      string
+	revision platform.Revision
+}
+
 // View is the state of a Replica at one time. It is immutable.
 type View struct {
 	// Revision is the store's revision up to which the view is complete.
 	Revision platform.Revision
+	// Listed is the revision up to which the view is complete but for the announced
+	// values, and Announced lists those, sorted by key.
+	Listed    platform.Revision
+	Announced []Announcement
 	// Config is the configuration in force, or nil if none is known yet. Table holds
 	// its routes.
 	Config *dynamic.Config
@@ -85,8 +96,14 @@
 	highest platform.Revision
 	// changes holds the recent changes in the order of their arrival. It is complete
 	// after the revision changesFrom.
-	changes     []platform.Item
+	changes     []change
 	changesFrom platform.Revision
+	// listed is the revision up to which the copy is complete but for the announced
+	// values, whose revisions are in announced, by key.
+	listed    platform.Revision
+	announced map[string]platform.Revision
+	// replaced holds large values that have been replaced, the oldest first.
+	replaced []platform.Item
 	// source is where the item that is being merged comes from, and implied is set if
 	// it was missing in a snapshot.
 	source  string
@@ -111,6 +128,9 @@
 		sum:     emptySum,
 		items:   make(map[string]platform.Item),
 		changed: make(chan struct{}),
+
+		announced: make(map[string]platform.Revision),
+
 		targets: make(map[string]platform.Target),
 		nodes:   make(map[string]Node),
 		lapsed:  make(map[string]time.Time),
@@ -133,20 +153,26 @@
 type Delta struct {
 	// Items holds the changes after a revision, or the full content if Snapshot is set.
 	Items []platform.Item
-	// Through is the revision up to which Items is complete.
+	// Announced lists the keys whose entries are part of the content and are not in Items,
+	// because their values are large.
+	Announced []Announcement
+	// Through is the revision up to which the content is complete.
 	Through platform.Revision
-	// Snapshot is set if keys that are missing in Items do not exist.
+	// Snapshot is set if keys that are missing in the content do not exist.
 	Snapshot bool
 	// Lapsed holds, for removed targets that may report again, how long they stay
 	// usable.
 	Lapsed map[string]time.Duration
+
+	// fromStore is set if the store itself delivered the content.
+	fromStore bool
 }
 
 // Apply merges changes that the store delivered, which are complete up to the revision
 // through. The source names where they come from in log lines. Apply reports whether
 // any of them was new.
 func (r *Replica) Apply(source string, changes []platform.Item, through platform.Revision) bool {
-	return r.Merge(source, Delta{Items: changes, Through: through})
+	return r.Merge(source, Delta{Items: changes, Through: through, fromStore: true})
 }
 
 // Replace merges a full snapshot of the store as of the revision at, which the store
@@ -157,7 +183,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.source, r.implied = source, false
-	d := Delta{Items: content, Through: at, Snapshot: true}
+	d := Delta{Items: content, Through: at, Snapshot: true, fromStore: true}
 	return r.mergeDelta(d, grace, r.correct(d))
 }
 
@@ -175,6 +201,9 @@
 	for _, item := range d.Items {
 		fresh = r.merge(item, d.Lapsed[item.Key]) || fresh
 	}
+	for _, a := range d.Announced {
+		fresh = r.announce(a) || fresh
+	}
 	if d.Snapshot {
 		removed := r.removeMissing(d, grace)
 		fresh = fresh || removed > 0
@@ -209,10 +238,13 @@
 // removeMissing removes the keys that a snapshot lacks. It returns their number.
 func (r *Replica) removeMissing(d Delta, grace time.Duration) int {
 	r.implied = true
-	present := make(map[string]bool, len(d.Items))
+	present := make(map[string]bool, len(d.Items)+len(d.Announced))
 	for _, item := range d.Items {
 		present[item.Key] = true
 	}
+	for _, a := range d.Announced {
+		present[a.Key] = true
+	}
 	removed := 0
 	for key, item := range r.items {
 		if !present[key] && !item.Deleted && item.Revision <= d.Through {
@@ -240,8 +272,8 @@
 			}
 		}
 	default:
-		for _, item := range r.changes {
-			if item.Revision > after {
+		for _, c := range r.changes {
+			if item := r.items[c.key]; c.revision > after && item.Revision == c.revision {
 				d.Items = append(d.Items, item)
 			}
 		}
@@ -268,11 +300,15 @@
 	r.sum ^= itemHash(old) ^ itemHash(item)
 	r.highest = max(r.highest, item.Revision)
 	r.items[item.Key] = item
-	r.changes = append(r.changes, item)
+	r.keepReplaced(old)
+	if r.announced[item.Key] <= item.Revision {
+		delete(r.announced, item.Key)
+	}
+	r.changes = append(r.changes, change{item.Key, item.Revision})
 	if len(r.changes) > maxChanges {
 		drop := len(r.changes) - maxChanges/2
 		for _, dropped := range r.changes[:drop] {
-			r.changesFrom = max(r.changesFrom, dropped.Revision)
+			r.changesFrom = max(r.changesFrom, dropped.revision)
 		}
 		r.changes = slices.Delete(r.changes, 0, drop)
 	}
@@ -347,18 +383,14 @@
 // publish makes the merged state visible as a new View. fresh is set if any item of the
 // delta was new.
 func (r *Replica) publish(d Delta, fresh bool) {
-	advanced := d.Through > r.revision
-	if advanced {
-		if d.Snapshot || r.revision == 0 {
-			// Keys that came and went since the last revision are not known.
-			r.changesFrom = max(r.changesFrom, d.Through)
-		}
-		r.revision = d.Through
-	}
+	advanced := r.advance(d)
 	if !fresh && !advanced {
 		return
 	}
-	v := &View{Revision: r.revision, Checksum: r.checksum(), Config: r.config, Table: r.table, Workspaces: r.workspaces}
+	v := &View{
+		Revision: r.revision, Listed: r.listed, Announced: r.announcements(), Checksum: r.checksum(),
+		Config: r.config, Table: r.table, Workspaces: r.workspaces,
+	}
 	if old := r.view.Load(); !fresh {
 		v.Targets, v.Nodes = old.Targets, old.Nodes
 	} else {
@@ -372,6 +404,29 @@
 	}
 }
 
+// advance sets the revisions up to which the copy is complete after a delta was merged. It
+// reports whether one of them has changed.
+func (r *Replica) advance(d Delta) bool {
+	listed, revision := r.listed, r.revision
+	if d.Through > r.listed {
+		if d.Snapshot || r.revision == 0 {
+			// Keys that came and went since the last revision are not known.
+			r.changesFrom = max(r.changesFrom, d.Through)
+		}
+		r.listed = d.Through
+	}
+	complete := r.listed
+	if len(r.announced) > 0 {
+		// What a relay tells continues from the announcements; the store's word does not.
+		complete = r.revision
+		if d.fromStore && r.firstAnnounced() > d.Through {
+			complete = d.Through
+		}
+	}
+	r.revision = max(r.revision, complete)
+	return r.listed != listed || r.revision != revision
+}
+
 // targetsByService returns the targets of each service, sorted by name. If several
 // targets have the same address, only the one that was written last is returned: the
 // others have ended, and their entries have not expired yet.
