gateway: nodes hand on which requests crash targets

Cause: the quarantine was in the memory of the home's Loop alone. A home that was started, the next rank, or a node that decides alone had an empty tracker.

Change: the quarantine goes the way of the limits of targets. Each node keeps what homes told it and sends a digest with each attempt; a home that knows another quarantine asks for the list before it decides. A node also tells all homes each 1.25 s, for those whose first request comes from a node that knows nothing. At most 256 entries; the rest of the time is told, and less than 1 s is not, so that the entry ends. Grant.NeedsLimits is now NeedsLists.

Why this works: whoever grants has heard from the node that asks, or from one that told it before.

--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -83,6 +83,8 @@
 	SentAt time.Duration `cbor:"18,keyasint,omitempty"`
 	// Limits is what the node knows of the statements of the service's targets.
 	Limits KnownLimits `cbor:"19,keyasint,omitempty"`
+	// Quarantine is what the node knows of the requests that crash targets.
+	Quarantine KnownQuarantine `cbor:"23,keyasint,omitzero"`
 	// RefusedBefore is the number of requests for the service that the node has refused by
 	// itself since its last attempt.
 	RefusedBefore int `cbor:"21,keyasint,omitempty"`
@@ -121,11 +123,15 @@
 	Clock time.Duration `cbor:"9,keyasint,omitempty"`
 	// Permit is set if the target limits its rate and the grant took a permit.
 	Permit bool `cbor:"10,keyasint,omitempty"`
-	// NeedsLimits is set if nothing was decided, because the home does not know the same
-	// limits as the node, which has to submit the attempt again with the list of them.
-	NeedsLimits bool `cbor:"11,keyasint,omitempty"`
+	// NeedsLists is set if nothing was decided, because the home does not know the same
+	// limits or the same quarantine as the node, which has to submit the attempt again with
+	// the lists of them.
+	NeedsLists bool `cbor:"11,keyasint,omitempty"`
 	// Limits is the list of the home's limits, if it knows others than the node.
 	Limits []limits.Entry `cbor:"12,keyasint,omitempty"`
+	// Quarantine is the list of the requests that crash targets, if the home knows others
+	// than the node.
+	Quarantine []poison.Handover `cbor:"13,keyasint,omitempty"`
 }
 
 // Report is the result of a granted attempt.
--- a/gateway/balance/limits_test.go
+++ b/gateway/balance/limits_test.go
@@ -38,7 +38,7 @@
 	node := limits.NewTable()
 	node.Hear(epoch, "t0", epoch, limits.Statement{Limited: true, Rate: 1})
 	a := Attempt{ID: ID{Number: 1}, Limits: KnownLimits{Digest: node.Digest()}}
-	c.Check(submit(l, epoch, a).NeedsLimits, qt.IsTrue)
+	c.Check(submit(l, epoch, a).NeedsLists, qt.IsTrue)
 	c.Check(l.service("s", epoch).openAttempts, qt.HasLen, 0)
 	a.Limits.List = node.List(epoch)
 	c.Check(submit(l, epoch, a).Target, qt.Equals, "", qt.Commentf("there is no permit yet"))
--- a/gateway/balance/ratefleet_test.go
+++ b/gateway/balance/ratefleet_test.go
@@ -155,7 +155,7 @@
 	}
 	var decide func(g Grant)
 	decide = func(g Grant) {
-		if g.NeedsLimits {
+		if g.NeedsLists {
 			a.Limits.List = h.table.List(f.now)
 			l.service("s", f.now).submit(f.now, a, decide)
 			return
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -109,13 +109,15 @@
 
 func (s *service) submit(now time.Time, a Attempt, reply func(Grant)) {
 	s.now = now
-	if !s.mergeLimits(now, a.Limits, "attempt of "+a.Request, a.SentAt) {
-		reply(Grant{NeedsLimits: true})
+	source := "attempt of " + a.Request
+	if !s.mergeLimits(now, a.Limits, source, a.SentAt) || !s.loop.mergeQuarantine(now, a.Quarantine, source) {
+		reply(Grant{NeedsLists: true})
 		return
 	}
 	decided := reply
 	reply = func(g Grant) {
 		g.Limits = s.listLimits(s.now, a.Limits.Digest)
+		g.Quarantine = s.loop.listQuarantine(s.now, a.Quarantine.Digest)
 		decided(g)
 	}
 	if e, refuse := s.loop.poison.Check(now, a.Fingerprint); refuse {
--- a/gateway/homes/client.go
+++ b/gateway/homes/client.go
@@ -57,6 +57,8 @@
 	tokens tokenIssuer
 	clocks homeClocks
 	limits *nodeLimits
+	// quarantine is what this node knows of the requests that crash targets.
+	quarantine *nodeQuarantine
 }
 
 // NewClient returns a Client.
@@ -66,6 +68,8 @@
 		tokens: tokenIssuer{fleet: cfg.Fleet, issuer: retry.NewIssuer(cfg.Retries)},
 		clocks: homeClocks{readings: make(map[string]clockReading)},
 		limits: newNodeLimits(cfg.Log),
+
+		quarantine: newNodeQuarantine(cfg.Log),
 	}
 }
 
@@ -103,7 +107,7 @@
 			return c.acquireFromLoop(ctx, c.cfg.Shared, a, h.Name)
 		}
 		deposit.attachTo(&a, c.clocks.estimate(h.Name))
-		decision, err := c.withLimits(a, func(a balance.Attempt) (Decision, error) { return c.acquireFromHome(ctx, h, a) })
+		decision, err := c.withLists(a, func(a balance.Attempt) (Decision, error) { return c.acquireFromHome(ctx, h, a) })
 		if err == nil && deposit.notAdded(a, decision.Clock) {
 			go c.sendContributions(context.WithoutCancel(ctx), h, []balance.Contribution{{
 				Service: a.Service, Deposit: deposit.deposit, SentAt: decision.Clock - time.Since(start), LimitsDigest: c.limits.digest(a.Service),
@@ -125,7 +129,7 @@
 
 // acquireFromLoop requests a target from a Loop of this node.
 func (c *Client) acquireFromLoop(ctx context.Context, loop *balance.Loop, a balance.Attempt, home string) (Decision, error) {
-	return c.withLimits(a, func(a balance.Attempt) (Decision, error) { return c.acquireLocally(ctx, loop, a, home) })
+	return c.withLists(a, func(a balance.Attempt) (Decision, error) { return c.acquireLocally(ctx, loop, a, home) })
 }
 
 // acquireLocally requests a target once from a Loop of this node.
--- a/gateway/homes/forward.go
+++ b/gateway/homes/forward.go
@@ -46,14 +46,19 @@
 	}
 }
 
-// forward sends the tokens and permits that are due to the homes of their services.
+// forward sends the tokens and permits that are due to the homes of their services, and
+// tells all homes of the requests that crash targets.
 func (c *Client) forward(ctx context.Context, services []string, interval time.Duration) {
 	relays := c.cfg.Relays.Relays()
 	messages := make(map[replica.Node][]balance.Contribution)
+	all := make(map[replica.Node]bool)
 	forwarded, first := 0, rand.IntN(len(services)+1)
 	for _, name := range slices.Concat(services[first:], services[:first]) {
 		homes := follow.RankHomes(name, relays)
 		limited := c.limits.inForce(name)
+		if len(homes) > 0 {
+			all[homes[0]] = true
+		}
 		if len(homes) == 0 || (!limited && (forwarded >= maxForwarded || !c.tokens.due(name, interval))) {
 			continue
 		}
@@ -77,6 +82,7 @@
 	for home, list := range messages {
 		go c.sendContributions(ctx, home, list)
 	}
+	c.exchangeQuarantine(ctx, all)
 }
 
 // sendContributions sends tokens and permits to a home, and records the home's clock and
--- a/gateway/homes/limits.go
+++ b/gateway/homes/limits.go
@@ -131,20 +131,22 @@
 	return c.limits.hear(a.Service, d.Target, sent, s, a.Request) || d.Permit
 }
 
-// withLimits submits an attempt by acquire, together with what this node knows of the
-// limits of targets, and records what the home knows. A home that knows other limits
-// decides once it has the list of them.
-func (c *Client) withLimits(a balance.Attempt, acquire func(balance.Attempt) (Decision, error)) (Decision, error) {
+// withLists submits an attempt by acquire, together with what this node knows of the limits
+// of targets and of the requests that crash them, and records what the home knows. A home
+// that knows others decides once it has the lists of them.
+func (c *Client) withLists(a balance.Attempt, acquire func(balance.Attempt) (Decision, error)) (Decision, error) {
 	a.Limits = balance.KnownLimits{Digest: c.limits.digest(a.Service)}
+	a.Quarantine = c.quarantine.known(false)
 	submitted := time.Now()
 	decision, err := acquire(a)
-	if err == nil && decision.NeedsLimits {
-		a.Limits = c.limits.known(a.Service)
+	if err == nil && decision.NeedsLists {
+		a.Limits, a.Quarantine = c.limits.known(a.Service), c.quarantine.known(true)
 		submitted = time.Now()
 		decision, err = acquire(a)
 	}
 	if err == nil {
 		c.limits.merge(a.Service, decision.Limits, decision.Home)
+		c.quarantine.merge(decision.Quarantine, decision.Home)
 	}
 	decision.submitted = submitted
 	return decision, err
--- a/gateway/homes/server.go
+++ b/gateway/homes/server.go
@@ -74,6 +74,7 @@
 	t.Handle(kindCancel, s.cancel)
 	t.Handle(kindFinish, s.finish)
 	t.Handle(kindContribute, s.contribute)
+	t.Handle(kindQuarantine, s.exchangeQuarantine)
 	t.Handle(kindExplain, s.explain)
 	return s
 }
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -174,3 +174,38 @@
 	_, err = poison.ParseFingerprint("not hexadecimal")
 	c.Assert(err, qt.IsNotNil)
 }
+
+// TestHandoversEndWithTheQuarantine guards against nodes that tell one another of a
+// quarantine again and again, so that it never ends.
+func TestHandoversEndWithTheQuarantine(t *testing.T) {
+	c := qt.New(t)
+	const transit = 200 * time.Millisecond
+	one, two := poison.NewTracker(poison.DefaultConfig()), poison.NewTracker(poison.DefaultConfig())
+	crash(one, bad, "b1", 0)
+	crash(one, bad, "b2", 1)
+	end := start.Add(time.Second + poison.DefaultConfig().Quarantine)
+	c.Assert(poison.Digest(one.Handovers(start)), qt.Not(qt.Equals), uint64(0))
+	refuses := func(tr *poison.Tracker, now time.Time) bool {
+		_, refuse := tr.Check(now, bad)
+		return refuse
+	}
+	for now := start.Add(time.Second); now.Before(end.Add(10 * transit)); now = now.Add(transit) {
+		two.TakeOver(now.Add(transit), one.Handovers(now))
+		one.TakeOver(now.Add(transit), two.Handovers(now))
+		switch at := now.Add(transit); {
+		case at.Before(end):
+			c.Assert(refuses(one, at) && refuses(two, at), qt.IsTrue, qt.Commentf("%s before the end", end.Sub(at)))
+		case at.After(end.Add(2 * transit)):
+			c.Assert(refuses(one, at) || refuses(two, at), qt.IsFalse, qt.Commentf("%s after the end", at.Sub(end)))
+		}
+	}
+
+	var many []poison.Handover
+	for i := range 10_000 {
+		many = append(many, poison.Handover{Fingerprint: poison.Fingerprint(i), Left: time.Hour})
+	}
+	full := poison.NewTracker(poison.DefaultConfig())
+	c.Check(full.TakeOver(start, many), qt.HasLen, poison.MaxHandovers)
+	_, refuse := full.Check(start.Add(poison.DefaultConfig().Quarantine), poison.Fingerprint(1))
+	c.Check(refuse, qt.IsFalse, qt.Commentf("a quarantine of another node is no longer than one of this node"))
+}
