exchange: four checks of a failure could not fail

A *Failure that is nil is not nil to qt.IsNotNil, which takes an error with a nil pointer for a non-nil error. The checks compare the pointer now, which is stricter. All of them pass on the code as it stood before and after this change.

--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -238,7 +238,7 @@
 				c.Check(string(got) == body, qt.IsTrue, qt.Commentf("%s: %d of %d bytes", framing, len(got), size))
 				continue
 			}
-			c.Assert(f, qt.IsNotNil)
+			c.Assert(f == nil, qt.IsFalse)
 			c.Check(f.Breach(), qt.Equals, BreachBodyTooLarge)
 		}
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -304,7 +304,7 @@
 		ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
 		_, f := NewClient(Options{Name: "t"}).Do(ctx, Call{Address: s.ln.Addr().String(), Request: r})
 		cancel()
-		c.Assert(f, qt.IsNotNil)
+		c.Assert(f == nil, qt.IsFalse)
 		c.Check(f.Cause, qt.Equals, CauseRequestBody)
 		c.Check(<-s.bodies, qt.ErrorIs, io.ErrUnexpectedEOF)
 	}
--- a/exchange/faulty_test.go
+++ b/exchange/faulty_test.go
@@ -23,7 +23,7 @@
 			s := serveScript(c, head[:cut]+"<cut>")
 			cl := NewClient(Options{Echo: EchoRequestHeader, EchoHeader: "X-Request-Id"})
 			_, f := cl.Do(t.Context(), Call{Address: s.ln.Addr().String(), Request: requestWithID("r1"), Unframed: true})
-			c.Assert(f, qt.IsNotNil, qt.Commentf("%q", head[:cut]))
+			c.Assert(f == nil, qt.IsFalse, qt.Commentf("%q", head[:cut]))
 			c.Assert(f.NotSent(), qt.IsFalse)
 			_ = s.ln.Close()
 		}
@@ -40,7 +40,7 @@
 			for _, opts := range []Options{{Echo: EchoRequestHeader, EchoHeader: "X-Request-Id"}, {Echo: EchoNone}} {
 				s := serveScript(c, before+"HTTP/1.1 "+status+"\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok")
 				_, f := NewClient(opts).Do(t.Context(), Call{Address: s.ln.Addr().String(), Request: requestWithID("r1")})
-				c.Check(f, qt.IsNotNil, qt.Commentf("status %q behind %q", status, before))
+				c.Check(f == nil, qt.IsFalse, qt.Commentf("status %q behind %q", status, before))
 				_ = s.ln.Close()
 			}
 		}
