exchange, ingress: a head with lines that are no header fields is no message

Cause: checkFraming compared names byte by byte and so did not see "Content-Length " or "Transfer-Encoding\x00", and hertz drops or repairs what it cannot read. By the same cause requests with a control byte, a NUL or a bare CR in a name were passed on and run, and ones with an empty name answered 502 in place of 400.

Change: one rule before all others (hop.CheckFields): a name is a token directly before the colon, no line continues another one, no bare CR or NUL in a value or the status line. What breaks it is no answer (502, connection not kept), whoever sent it, or a request answered 400.

--- a/exchange/head.go
+++ b/exchange/head.go
@@ -8,6 +8,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
+
+	"filbertmill.example/exchange/hop"
 )
 
 const (
@@ -94,25 +96,11 @@
 // BeginsRequest reports whether head may be the start of a request: its method consists of
 // the characters of a token (RFC 9110, section 5.6.2).
 func BeginsRequest(head []byte) bool {
-	for i, b := range head {
-		switch {
-		case b == ' ':
-			return i > 0
-		case i == maxMethodBytes:
-			return false
-		case b <= ' ' || b >= 0x7f || isDelimiter(b):
-			return false
-		}
+	method, _, ended := bytes.Cut(head[:min(len(head), maxMethodBytes+1)], []byte{' '})
+	if len(method) == 0 {
+		return !ended
 	}
-	return true
-}
-
-func isDelimiter(b byte) bool {
-	switch b {
-	case '"', '(', ')', ',', '/', ':', ';', '<', '=', '>', '?', '@', '[', '\\', ']', '{', '}':
-		return true
-	}
-	return false
+	return hop.IsToken(method) && len(method) <= maxMethodBytes
 }
 
 // HeadScan searches for the end of a head: the first empty line after a line that
@@ -166,24 +154,21 @@
 }
 
 // checkFraming rejects heads that hertz misreads: it accepts any number as a
-// status, ignores a Content-Length that is not a number, and takes every transfer
-// coding for chunked.
+// status, ignores a Content-Length that is not a number, takes every transfer
+// coding for chunked, and drops or repairs lines that are no header fields.
 func checkFraming(head []byte) error {
-	var length, coding, version []byte
-	first := true
-	for line := range bytes.Lines(head) {
-		line = bytes.TrimRight(line, "\r\n")
-		if first {
-			if len(line) == 0 {
-				continue
-			}
-			first = false
-			version, _, _ = bytes.Cut(line, []byte{' '})
-			if err := checkStatusLine(line); err != nil {
-				return err
-			}
-			continue
-		}
+	head = bytes.TrimLeft(head, "\r\n")
+	statusLine, fields, _ := bytes.Cut(head, []byte{'\n'})
+	statusLine = bytes.TrimSuffix(statusLine, []byte{'\r'})
+	if err := checkStatusLine(statusLine); err != nil {
+		return err
+	}
+	if err := hop.CheckFields(fields); err != nil {
+		return errors.Wrapf(errHead, "%v", err)
+	}
+	version, _, _ := bytes.Cut(statusLine, []byte{' '})
+	var length, coding []byte
+	for line := range bytes.Lines(fields) {
 		name, value, _ := bytes.Cut(line, []byte{':'})
 		value = bytes.TrimSpace(value)
 		switch {
@@ -212,7 +197,8 @@
 }
 
 // checkStatusLine rejects a status that is not a number from 100 to 599. It also
-// rejects 101 (Switching Protocols), since no request asks for an upgrade.
+// rejects 101 (Switching Protocols), since no request asks for an upgrade, and a CR
+// or a NUL in the line.
 func checkStatusLine(line []byte) error {
 	const digits = 3
 	_, rest, _ := bytes.Cut(line, []byte{' '})
@@ -220,6 +206,9 @@
 	if len(status) != digits || !isNumber(status) || status[0] < '1' || status[0] > '5' || string(status) == "101" {
 		return errors.Wrapf(errHead, "status %q", status[:min(len(status), 32)])
 	}
+	if bytes.ContainsAny(line, "\r\x00") {
+		return errors.Wrapf(errHead, "status line %.64q", line)
+	}
 	return nil
 }
 
--- a/exchange/hop/headers.go
+++ b/exchange/hop/headers.go
@@ -26,9 +26,12 @@
 	errCoding  = errors.New("the request has a transfer coding other than chunked")
 )
 
-// CheckFraming returns an error for a request whose end or host two parsers could
+// CheckFraming returns an error for a request whose fields, end or host two parsers could
 // determine differently.
 func CheckFraming(h *protocol.RequestHeader) error {
+	if err := CheckFields(h.RawHeaders()); err != nil {
+		return err
+	}
 	var lengths, codings, hosts int
 	s := ext.HeaderScanner{B: h.RawHeaders()}
 	for s.Next() {
