gateway, node: a connection lost within an answer may be a crash

Cause: only a connection lost before the answer began (VerdictReset) was looked at as a crash.

Change: attempt.Lost, a connection lost after the request was sent and before the answer was complete. Whether the target has crashed is decided as before, by its taking no connection. serve has the same change on both of its ways.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,8 @@
 	sent    bool
 	// notRun is set if the target has provably not run the request.
 	notRun bool
+	// lost is set if the connection was lost after the request was sent.
+	lost   bool
 	failed bool
 	// targetName is the name of the assigned target.
 	targetName string
@@ -135,11 +137,11 @@
 	granted(decision.Grant)
 	start := time.Now()
 	res := n.send(ctx, r, target, p)
-	crashed := res.verdict == pool.VerdictReset && decision.SuspectedPoison && isDown(target.Address)
+	crashed := res.lost && decision.SuspectedPoison && isDown(target.Address)
 	res.granted, res.target, res.targetName, res.home = true, target.ID, decision.Target, decision.Home
 	res.listedAt, res.copyAge = view.Revision, copyAge
 	n.unreachable.record(time.Now(), decision.Target, res.verdict)
-	report = balance.Report{Verdict: res.verdict, Latency: time.Since(start), Bytes: res.bytes, Crashed: crashed}
+	report = balance.Report{Verdict: res.verdict, Latency: time.Since(start), Bytes: res.bytes, Lost: res.lost, Crashed: crashed}
 	n.hear(a, decision, start, &res, &report)
 	n.stats.attempts.Add(res.verdict.String(), 1)
 	if res.breach != "" {
@@ -251,6 +253,7 @@
 		verdict: attempt.Verdict(f),
 		sent:    !f.NotSent(),
 		notRun:  f.NotSent(),
+		lost:    attempt.Lost(f),
 		failed:  true,
 		breach:  f.Breach(),
 	}
--- a/gateway/balance/attempt.go
+++ b/gateway/balance/attempt.go
@@ -109,7 +109,7 @@
 	RetryAfter time.Duration  `cbor:"3,keyasint,omitempty"`
 	// UsualLatency is the usual latency of answers on the route, or 0 if not known.
 	UsualLatency time.Duration `cbor:"5,keyasint,omitempty"`
-	// SuspectedPoison is set if the connection to a target was recently reset during
+	// SuspectedPoison is set if the connection to a target was recently lost during
 	// an identical request. If that happens again, the node that made the attempt
 	// checks whether the target is down.
 	SuspectedPoison bool `cbor:"6,keyasint,omitempty"`
@@ -149,7 +149,8 @@
 	Bytes int64 `cbor:"8,keyasint,omitempty"`
 	// Stated is what the target's answer stated, or nil if that is nothing new.
 	Stated *limits.Statement `cbor:"7,keyasint,omitempty"`
-	// Crashed is set if the target did not accept connections after it had reset the
-	// connection.
+	// Lost is set if the connection was lost after the request was sent, also within the
+	// answer. Crashed is set if the target did not accept connections after that.
+	Lost    bool `cbor:"9,keyasint,omitempty"`
 	Crashed bool `cbor:"6,keyasint,omitempty"`
 }
--- a/gateway/balance/broken.go
+++ b/gateway/balance/broken.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// resetMemory is how long the fingerprint of a request that met a reset is kept.
+	// resetMemory is how long the fingerprint of a request that met a loss is kept.
 	// A poison request is repeated within seconds.
 	resetMemory = time.Minute
 	// maxResets limits the number of fingerprints.
@@ -15,7 +15,7 @@
 )
 
 // recentResets contains the requests during which the connection to a target was
-// reset, by fingerprint. Most of them met a gray target, but one that meets resets
+// lost, by fingerprint. Most of them met a gray target, but one that meets losses
 // repeatedly may itself crash targets.
 type recentResets struct {
 	times map[poison.Fingerprint]time.Time
--- a/gateway/balance/poison_test.go
+++ b/gateway/balance/poison_test.go
@@ -61,6 +61,25 @@
 	qt.Check(t, submit(l, now, Attempt{ID: ID{Number: 99}, Fingerprint: 8}).Target, qt.Not(qt.Equals), "")
 }
 
+// TestRequestThatCrashesTargetsInMidAnswerIsQuarantined guards against a request that
+// crashes targets without end, because they crash after their answers have begun.
+func TestRequestThatCrashesTargetsInMidAnswerIsQuarantined(t *testing.T) {
+	l := newLoop(6)
+	now := epoch
+	crashes := 0
+	for i := range uint64(10) {
+		now = now.Add(time.Second)
+		id := ID{Number: i}
+		g := submit(l, now, Attempt{ID: id, Fingerprint: 7})
+		if g.Target == "" {
+			continue
+		}
+		crashes++
+		l.service("s", now).finish(now, Report{ID: id, Service: "s", Verdict: pool.VerdictTruncated, Lost: true, Crashed: g.SuspectedPoison})
+	}
+	qt.Check(t, crashes, qt.Equals, 3)
+}
+
 // TestSlotsOfASilentNodeAreReleased has a node that never reports the results of its
 // attempts.
 func TestSlotsOfASilentNodeAreReleased(t *testing.T) {
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -219,7 +219,7 @@
 		s.loop.resets.remove(o.Fingerprint)
 		return
 	}
-	if r.Verdict == pool.VerdictReset {
+	if r.Lost || r.Verdict == pool.VerdictReset { // nodes of an earlier version don't say lost
 		s.loop.resets.add(now, o.Fingerprint)
 	}
 	if !r.Crashed {
--- a/node/attempt/attempt.go
+++ b/node/attempt/attempt.go
@@ -32,6 +32,10 @@
 	return pool.VerdictReset
 }
 
+// Lost reports whether the connection was lost after the request was sent and before the
+// answer was complete, as it is when the target's process ends.
+func Lost(f *exchange.Failure) bool { return f.Cause == exchange.CauseConnection && !f.NotSent() }
+
 // Reason maps an exchange's failure to the reason stated to the caller.
 func Reason(f *exchange.Failure) outcome.Reason {
 	switch {
--- a/node/home.go
+++ b/node/home.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
 
 	"filbertmill.example/event"
 	"filbertmill.example/exchange"
@@ -17,6 +18,7 @@
 // targetAttempt is the outcome of one attempt on one target.
 type targetAttempt struct {
 	target  string
+	address string
 	verdict pool.Verdict
 	// leaving is set if the target announced that it is shutting down.
 	leaving bool
@@ -140,7 +142,7 @@
 
 // try makes one attempt on the granted target.
 func (n *Node) try(ctx context.Context, r *request, g grant, id pool.RequestID) targetAttempt {
-	a := targetAttempt{target: g.target, start: time.Now(), id: id}
+	a := targetAttempt{target: g.target, address: g.address, start: time.Now(), id: id}
 	out := r.copyOutbound()
 	out.Header.Set(headerTimeout, strconv.FormatInt(r.timeLeft(a.start), 10))
 	out.Header.Set(headerRequestID, r.id)
@@ -161,7 +163,7 @@
 	}
 	if a.failure != nil {
 		a.verdict = attempt.Verdict(a.failure)
-		a.crashed = a.verdict == pool.VerdictReset && isDown(g.address)
+		a.crashed = attempt.Lost(a.failure) && isDown(g.address)
 		return a
 	}
 	a.leaving = len(a.answer.Response.Header.Peek(headerTargetLeaving)) > 0
@@ -222,6 +224,8 @@
 	verdict := a.verdict
 	if err != nil {
 		verdict = attempt.Verdict(attempt.AsFailure(err))
+		var lost *exchange.Failure // not the caller's connection
+		a.crashed = errors.As(err, &lost) && attempt.Lost(lost) && isDown(a.address)
 	}
 	if a.answer != nil {
 		_ = a.answer.Body.Close()
