soak: large configurations over thin links, as a kind of its own

Configurations of 0.4 to 1 MB that grow by 1,400 routes a version, links of 10 Mbit/s from the store to each node, and the faults, restarts and promises as before.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -24,7 +24,7 @@
 	case killNode, pauseNode, stopNode, killAll, stopBusy, reloadNode, rollNodes, rollDrain:
 		w.disturbNode(ctx, s)
 	case cutStore, silenceStore:
-		disturbLink(ctx, w.nodeOf(s).store, s.kind == silenceStore, s.duration)
+		disturbLink(ctx, w.nodeOf(s).store, w.storeLink(), s.kind == silenceStore, s.duration)
 	case configure:
 		// A faulty store may refuse the write; a later step writes the next version.
 		_ = w.configureVariant(ctx, s.index)
@@ -38,7 +38,7 @@
 	case targetLimits, targetTells, targetPauses:
 		w.disturbByAdvice(ctx, s)
 	case targetCut, targetOneWay:
-		disturbLink(ctx, w.target(s.index).proxy, s.kind == targetOneWay, s.duration)
+		disturbLink(ctx, w.target(s.index).proxy, faultproxy.Fault{}, s.kind == targetOneWay, s.duration)
 	default:
 		if behavior, ok := behaviors[s.kind]; ok {
 			behavior.Endless = endless.Kinds[s.index%len(endless.Kinds)]
@@ -139,8 +139,8 @@
 }
 
 // disturbLink for a time drops a proxy's bytes to its caller, or refuses and ends
-// its connections. All connections end with the fault.
-func disturbLink(ctx context.Context, p *faultproxy.Proxy, silent bool, lasts time.Duration) {
+// its connections. All connections end with the fault, after which the link is as before.
+func disturbLink(ctx context.Context, p *faultproxy.Proxy, before faultproxy.Fault, silent bool, lasts time.Duration) {
 	if silent {
 		p.Set(faultproxy.ToCaller, faultproxy.Fault{BlackHole: true})
 	} else {
@@ -149,7 +149,7 @@
 	}
 	sleep(ctx, lasts)
 	p.Refuse(false)
-	p.Set(faultproxy.ToCaller, faultproxy.Fault{})
+	p.Set(faultproxy.ToCaller, before)
 	p.Cut()
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -40,6 +40,7 @@
 	Advice     bool          `arg:"--advice" help:"also targets that state in their answers a limit, that they leave, or a pause"`
 	Workspaces bool          `arg:"--workspaces" help:"callers have keys of workspaces, one of which sends beyond its quota; lookups are downloads"`
 	Hostile    bool          `arg:"--hostile" help:"also callers that hold memory and connections: heads and bodies without their end, bodies beyond the limit, answers that they do not read; nodes have 128 MB"`
+	Large      bool          `arg:"--large" help:"configurations that grow to 1 MB, over links of 10 Mbit/s to the store"`
 	Mutants    bool          `arg:"--mutants" help:"build faults into the program on purpose; each must be found within the seeds (5 if not set)"`
 	Plot       string        `arg:"--plot" help:"draw the latest run to this .svg or .png file: faults over time against answers by outcome"`
 	// KnownRed names the promises that are known to be broken.
@@ -160,6 +161,9 @@
 	if a.Hostile {
 		fmt.Print(" --hostile")
 	}
+	if a.Large {
+		fmt.Print(" --large")
+	}
 	fmt.Println()
 	return broken, nil
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -89,9 +89,9 @@
 	// slowObjective is the latency objective of long work, and minWork its shortest
 	// service time.
 	slowObjective, minWork time.Duration
-	// short is set if no long work is requested, workspaces if callers have keys, and
-	// hostile if hostile callers send as well.
-	short, workspaces, hostile bool
+	// short is set if no long work is requested, workspaces if callers have keys, hostile
+	// if hostile callers send as well, and large if configurations are large and links thin.
+	short, workspaces, hostile, large bool
 	// knownRed names the promises that are known to be broken. onlyPromise is the
 	// one promise whose breaches count; empty for all.
 	knownRed    []string
@@ -119,7 +119,7 @@
 
 // newWorld starts the platform, the targets and the nodes.
 func newWorld(ctx context.Context, dir string, a arguments, rng *rand.Rand) (*world, error) {
-	w := &world{dir: dir, program: a.Program, rate: a.Rate, knownRed: a.KnownRed, onlyPromise: a.Only, knownPrinted: make(map[string]bool), ledger: &backend.Ledger{}, rng: rng, slowObjective: slowObjective, minWork: minWork, short: a.Short, workspaces: a.Workspaces, hostile: a.Hostile}
+	w := &world{dir: dir, program: a.Program, rate: a.Rate, knownRed: a.KnownRed, onlyPromise: a.Only, knownPrinted: make(map[string]bool), ledger: &backend.Ledger{}, rng: rng, slowObjective: slowObjective, minWork: minWork, short: a.Short, workspaces: a.Workspaces, hostile: a.Hostile, large: a.Large}
 	if a.Eager {
 		w.slowObjective, w.minWork = objective, 0
 	}
@@ -175,7 +175,11 @@
 		return err
 	}
 	spec.Store = proxy.Address()
+	if w.large {
+		spec.LinkMbps = thinLinkMbps
+	}
 	n := &node{spec: spec, store: proxy}
+	proxy.Set(faultproxy.ToCaller, w.storeLink())
 	w.nodes = append(w.nodes, n)
 	return w.startNode(n, func(*process.Node) {})
 }
@@ -247,6 +251,11 @@
 		route(versionRoute(next), "safe", split, objective, callerTimeout),
 		route("slow", "safe", `"service":"slow"`, w.slowObjective, slowTimeouts[w.variant%len(slowTimeouts)]),
 	}
+	if w.large {
+		for i := range min((next+1)*largeGrowth, maxLargeRoutes) {
+			routes = append(routes, route(fmt.Sprintf("%x", uint64(i+1)*goldenRatio>>16), "safe", `"service":"look"`, objective, callerTimeout))
+		}
+	}
 	clusters := make([]string, len(services))
 	for i, s := range services {
 		clusters[i] = fmt.Sprintf(`{"name":%q,"health-path":"/health","max-conns":60}`, s)
@@ -260,6 +269,7 @@
 	text := fmt.Sprintf(`{"version":"%08x",%s"limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,
 		"idle-timeout-s":%g},"listeners":[{"host":"g.example","policy":[%s]}],"clusters":[%s]}`,
 		next, tenants, idle.Seconds(), strings.Join(routes, ","), strings.Join(clusters, ","))
+	text = strings.Join(strings.Fields(text), "") // names hold no blanks
 	sent := time.Now()
 	w.history.recordIdleLimit(idleLimit{idle, sent})
 	_, err := w.store.Txn(ctx, nil, []platform.Put{{Key: platform.ConfigurationKey, Value: []byte(text)}})
@@ -295,6 +305,24 @@
 	return false
 }
 
+const (
+	// thinLinkMbps is the bandwidth of links to the store with large configurations.
+	thinLinkMbps = 10
+	// largeGrowth is the number of routes by which each version grows, up to
+	// maxLargeRoutes, with which it has about 1 MB.
+	largeGrowth, maxLargeRoutes = 1400, 6300
+	// goldenRatio makes the names of routes hard to compress, as those of users are.
+	goldenRatio uint64 = 0x9e3779b97f4a7c15
+)
+
+// storeLink returns the state of an undisturbed link from the store to a node.
+func (w *world) storeLink() faultproxy.Fault {
+	if !w.large {
+		return faultproxy.Fault{}
+	}
+	return faultproxy.Fault{BytesPerSecond: thinLinkMbps * 1e6 / 8}
+}
+
 func versionRoute(version int) string { return fmt.Sprintf("v%d", version) }
 
 // runAndCheck runs callers and faults until the fleet has settled or a promise is
--- a/testbed/process/gateway.go
+++ b/testbed/process/gateway.go
@@ -29,6 +29,9 @@
 	// MaxDescriptors is the number of file descriptors that it may use; 0 stands for
 	// DefaultMaxDescriptors.
 	MaxDescriptors int
+	// LinkMbps is the bandwidth of its link in Mbit/s, as it is told; 0 stands for
+	// DefaultLinkMbps.
+	LinkMbps int
 	// Log is the file to which it writes its log; empty stands for one in the directory
 	// of the settings file.
 	Log string
@@ -40,6 +43,9 @@
 // DefaultMaxDescriptors is the number of file descriptors if Gateway sets none.
 const DefaultMaxDescriptors = 1024
 
+// DefaultLinkMbps is the bandwidth of a node's link, in Mbit/s, if Gateway sets none.
+const DefaultLinkMbps = 1000
+
 // NewGateways returns n nodes on free loopback addresses, spread over the
 // availability zones, that all reach the store at one address.
 func NewGateways(n int, zones []string, store string) ([]Gateway, error) {
@@ -84,7 +90,7 @@
 cores = 1
 memory-mb = %d
 max-fds = %d
-link-mbps = 1000.0
+link-mbps = %d
 
 [bounds]
 contact-s = 3
@@ -104,7 +110,7 @@
 [platform]
 address = %q
 `, g.Name, g.AvailabilityZone, quoted(g.Seeds), g.FirstStart, g.Callers, g.Ready, g.Control,
-		cmp.Or(g.MemoryMB, DefaultMemoryMB), cmp.Or(g.MaxDescriptors, DefaultMaxDescriptors), g.Store)
+		cmp.Or(g.MemoryMB, DefaultMemoryMB), cmp.Or(g.MaxDescriptors, DefaultMaxDescriptors), cmp.Or(g.LinkMbps, DefaultLinkMbps), g.Store)
 }
 
 func quoted(list []string) string {
