gateway, poison: crashes before a quarantine are handed on, too

A home that changes after the first crash of a request counted anew, so that a request that comes slowly could crash targets under one home after another without ever being refused.

Change: crashes up to 1 minute old go with the periodic exchange of nodes and homes, both ways, and so do answers that have cleared a request of them. A known crash also makes nodes look whether a target is down, which the second loss did until now. Each target counts once, whoever tells of it.

Shown by: TestCrashesAreHandedOnBeforeTheQuarantine, which failed before: the second home granted a target to the request that had crashed two.

--- a/gateway/balance/limits.go
+++ b/gateway/balance/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertmill.example/gateway/limits"
+	"filbertmill.example/poison"
 	"filbertmill.example/retry"
 )
 
@@ -115,10 +116,17 @@
 	LimitsDigest uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Contribute adds retry tokens and permits to services. It returns, by service, the limits
-// of which the node knows others.
-func (l *Loop) Contribute(list []Contribution) map[string][]limits.Entry {
-	return query(l, func(now time.Time) map[string][]limits.Entry {
+// Told is what a Loop tells a node that contributes.
+type Told struct {
+	// Limits are, by service, those of which the node knows others.
+	Limits map[string][]limits.Entry
+	// Quarantine holds the requests that crash targets, or may do so.
+	Quarantine []poison.Handover
+}
+
+// Contribute adds retry tokens and permits to services.
+func (l *Loop) Contribute(list []Contribution) Told {
+	return query(l, func(now time.Time) Told {
 		differing := make(map[string][]limits.Entry)
 		for _, m := range list {
 			s := l.service(m.Service, now)
@@ -128,7 +136,7 @@
 				differing[m.Service] = entries
 			}
 		}
-		return differing
+		return Told{differing, l.quarantineAndSuspects(now)}
 	})
 }
 
--- a/gateway/balance/quarantine.go
+++ b/gateway/balance/quarantine.go
@@ -46,10 +46,17 @@
 }
 
 // ExchangeQuarantine records what a node knows of the requests that crash targets, and
-// returns what this Loop knows.
+// returns what this Loop knows: also the crashes that have not led to a quarantine yet.
 func (l *Loop) ExchangeQuarantine(list []poison.Handover, source string) []poison.Handover {
 	return query(l, func(now time.Time) []poison.Handover {
 		l.takeOver(now, list, source)
-		return l.poison.Handovers(now)
+		for _, f := range l.poison.TakeOverSuspects(now, list) {
+			l.cfg.Log.Warn("request quarantined: it crashed targets", "fingerprint", f, "source", source)
+		}
+		return l.quarantineAndSuspects(now)
 	})
 }
+
+func (l *Loop) quarantineAndSuspects(now time.Time) []poison.Handover {
+	return append(l.poison.Handovers(now), l.poison.Suspects(now)...)
+}
--- a/gateway/balance/service.go
+++ b/gateway/balance/service.go
@@ -215,7 +215,7 @@
 // their targets.
 func (s *service) updatePoisonTracker(now time.Time, o *openAttempt, r Report) {
 	if r.Verdict == pool.VerdictAnswered {
-		s.loop.poison.RecordSuccess(o.Fingerprint)
+		s.loop.poison.RecordSuccess(now, o.Fingerprint)
 		s.loop.resets.remove(o.Fingerprint)
 		return
 	}
@@ -274,7 +274,7 @@
 	o := s.openAttempts[id]
 	o.target = target
 	o.started = s.now
-	g := Grant{Target: target, UsualLatency: s.sched.UsualLatency(o.Route), SuspectedPoison: s.loop.resets.has(o.Fingerprint)}
+	g := Grant{Target: target, UsualLatency: s.sched.UsualLatency(o.Route), SuspectedPoison: s.loop.resets.has(o.Fingerprint) || s.loop.poison.IsSuspect(o.Fingerprint)}
 	if limit, _ := s.limits.Get(target); limit.Limited {
 		g.Permit = true
 		s.loop.stats.addGrantedPermit(s.name)
--- a/gateway/homes/forward.go
+++ b/gateway/homes/forward.go
@@ -90,7 +90,8 @@
 func (c *Client) sendContributions(ctx context.Context, home replica.Node, list []balance.Contribution) {
 	var reply contributeReply
 	if home.Name == c.cfg.Self {
-		reply.Limits = c.cfg.Shared.Contribute(list)
+		told := c.cfg.Shared.Contribute(list)
+		reply.Limits, reply.Quarantine = told.Limits, told.Quarantine
 	} else {
 		if err := c.call(ctx, peerOf(home), kindContribute, list, &reply); err != nil {
 			c.cfg.Log.Info("retry tokens and permits lost", "home", home.Name, "services", len(list), "error", err)
@@ -98,6 +99,7 @@
 		}
 		c.clocks.record(home.Name, reply.Clock)
 	}
+	c.quarantine.merge(reply.Quarantine, home.Name)
 	for service, entries := range reply.Limits {
 		c.limits.merge(service, entries, home.Name)
 	}
--- a/gateway/homes/quarantine.go
+++ b/gateway/homes/quarantine.go
@@ -48,12 +48,22 @@
 	for _, f := range q.tracker.TakeOver(time.Now(), list) {
 		q.log.Info("this node knows that a request crashes targets", "fingerprint", f, "home", home)
 	}
+	q.tracker.TakeOverSuspects(time.Now(), list)
+}
+
+// all returns the entries to tell a home, and the crashes that have not led to a quarantine
+// yet.
+func (q *nodeQuarantine) all() []poison.Handover {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	return append(q.tracker.Handovers(now), q.tracker.Suspects(now)...)
 }
 
 // exchangeQuarantine tells homes what this node knows, also while it has no requests for
 // them, and records what they know.
 func (c *Client) exchangeQuarantine(ctx context.Context, homes map[replica.Node]bool) {
-	list := c.quarantine.list()
+	list := c.quarantine.all()
 	if len(list) == 0 {
 		return
 	}
--- a/gateway/homes/quarantine_test.go
+++ b/gateway/homes/quarantine_test.go
@@ -29,14 +29,17 @@
 	t      *testing.T
 	relays *changingRelays
 	sent   uint64
+	loops  int
 }
 
+// startLoop starts a Loop. Its targets are new ones: those of before have crashed.
 func (f *quarantineFleet) startLoop() *balance.Loop {
+	f.loops++
 	l := balance.New(balance.Config{Log: hclog.NewNullLogger()})
 	go l.Run(f.t.Context())
 	view := &replica.View{Config: &dynamic.Config{}, Targets: map[string][]platform.Target{}}
 	for i := range 20 {
-		view.Targets["s"] = append(view.Targets["s"], platform.Target{ID: fmt.Sprint("t", i), Service: "s", Slots: 4})
+		view.Targets["s"] = append(view.Targets["s"], platform.Target{ID: fmt.Sprintf("t%d-%d", f.loops, i), Service: "s", Slots: 4})
 	}
 	l.SetView(view)
 	return l
@@ -120,3 +123,38 @@
 	time.Sleep(2 * permitInterval)
 	qt.Check(t, f.send(f.startNode("n2"), bad, true), qt.Equals, outcome.ReasonPoison)
 }
+
+// TestCrashesAreHandedOnBeforeTheQuarantine guards against a request that crashes targets
+// under one home after another, none of which sees enough crashes to refuse it.
+func TestCrashesAreHandedOnBeforeTheQuarantine(t *testing.T) {
+	const bad, cleared = poison.Fingerprint(7), poison.Fingerprint(9)
+	c := qt.New(t)
+	f := &quarantineFleet{t: t, relays: &changingRelays{}}
+	f.startHome("h1")
+	node := f.startNode("n1")
+	go node.Run(t.Context(), func() []string { return []string{"s"} })
+	for _, fingerprint := range []poison.Fingerprint{bad, bad, cleared, cleared} {
+		c.Assert(f.send(node, fingerprint, true), qt.Equals, outcome.Reason(""))
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(2 * permitInterval)
+
+	// The node knows of one crash under each, and tells the next home.
+	f.startHome("h2")
+	time.Sleep(2 * permitInterval)
+	c.Check(f.send(node, cleared, false), qt.Equals, outcome.Reason(""))
+	time.Sleep(20 * time.Millisecond)
+	c.Check(f.send(node, bad, true), qt.Equals, outcome.Reason(""), qt.Commentf("the second crash"))
+	time.Sleep(20 * time.Millisecond)
+	c.Check(f.send(node, bad, true), qt.Equals, outcome.ReasonPoison)
+
+	// What an answer has cleared does not come back.
+	time.Sleep(2 * permitInterval)
+	f.startHome("h3")
+	time.Sleep(2 * permitInterval)
+	for range 2 {
+		c.Check(f.send(node, cleared, true), qt.Equals, outcome.Reason(""))
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Check(f.send(node, cleared, false), qt.Equals, outcome.Reason(""))
+}
--- a/gateway/homes/server.go
+++ b/gateway/homes/server.go
@@ -10,6 +10,7 @@
 	"filbertmill.example/fleet/control"
 	"filbertmill.example/gateway/balance"
 	"filbertmill.example/gateway/limits"
+	"filbertmill.example/poison"
 )
 
 // Messages to a home.
@@ -47,6 +48,8 @@
 	Clock time.Duration `cbor:"1,keyasint"`
 	// Limits are those of which the sender knows others, by service.
 	Limits map[string][]limits.Entry `cbor:"2,keyasint,omitempty"`
+	// Quarantine holds the requests that crash targets, or may do so.
+	Quarantine []poison.Handover `cbor:"3,keyasint,omitempty"`
 }
 
 var errUnknownAttempt = errors.New("the home does not know the attempt")
@@ -160,6 +163,6 @@
 	if err := control.Unmarshal(body, &list); err != nil {
 		return nil, err
 	}
-	differing := s.loop.Contribute(list)
-	return contributeReply{Clock: s.loop.Clock(), Limits: differing}, nil
+	told := s.loop.Contribute(list)
+	return contributeReply{Clock: s.loop.Clock(), Limits: told.Limits, Quarantine: told.Quarantine}, nil
 }
--- a/node/poison.go
+++ b/node/poison.go
@@ -78,7 +78,7 @@
 func (p *servicePool) trackCrash(now time.Time, m finishCommand, notified func()) {
 	switch {
 	case m.result.Verdict == pool.VerdictAnswered || m.result.Verdict == pool.VerdictServerError:
-		p.control.poison.RecordSuccess(m.attempt.fingerprint)
+		p.control.poison.RecordSuccess(now, m.attempt.fingerprint)
 		notified()
 		return
 	case !m.attempt.crashed:
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -86,6 +86,8 @@
 	cfg      Config
 	suspects map[Fingerprint]*suspect
 	entries  map[Fingerprint]*Entry
+	// cleared holds, for fingerprints that were suspects, when an answer has cleared them.
+	cleared map[Fingerprint]time.Time
 }
 
 // NewTracker returns a Tracker that knows no fingerprint.
@@ -94,6 +96,7 @@
 		cfg:      cfg,
 		suspects: make(map[Fingerprint]*suspect),
 		entries:  make(map[Fingerprint]*Entry),
+		cleared:  make(map[Fingerprint]time.Time),
 	}
 }
 
@@ -137,8 +140,10 @@
 // RecordSuccess records that a target ran a request with the fingerprint and gave
 // a complete answer. Earlier crashes under the fingerprint had another cause, so
 // they no longer count.
-func (t *Tracker) RecordSuccess(f Fingerprint) {
-	delete(t.suspects, f)
+func (t *Tracker) RecordSuccess(now time.Time, f Fingerprint) {
+	if t.suspects[f] != nil {
+		t.clear(f, now)
+	}
 }
 
 // Import adds an entry that another node put into quarantine. It reports whether
@@ -246,6 +251,11 @@
 			delete(t.suspects, f)
 		}
 	}
+	for f, at := range t.cleared {
+		if now.Sub(at) >= suspectLife {
+			delete(t.cleared, f)
+		}
+	}
 }
 
 // makeRoom drops one fingerprint if Config.Capacity is reached: the suspect whose
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -64,7 +64,7 @@
 		}},
 		{"a complete answer in between", func(tr *poison.Tracker) {
 			crash(tr, bad, "b1", 0)
-			tr.RecordSuccess(bad)
+			tr.RecordSuccess(start.Add(3*time.Second), bad)
 			crash(tr, bad, "b2", 9)
 		}},
 		{"crashes further apart than Config.Memory", func(tr *poison.Tracker) {
