gateway/follow: a watch leaves out what relays have delivered

A relay with a thin link gets a large configuration from other relays as a difference, within a tenth of a second, while its own watch of the store takes 1.1 s for each version. The next call of the watch asked for all versions since its own last answer, so that after several changes in a row the link stayed full with what the relay had long got. It begins now at the revision up to which the copy is complete, if that is later.

Shown by: TestWatchLeavesOutWhatRelaysDelivered, which failed before.

--- a/gateway/follow/confirmation_test.go
+++ b/gateway/follow/confirmation_test.go
@@ -22,6 +22,8 @@
 	reads, calls atomic.Int64
 	// compacted is the revision up to which the store has no history.
 	compacted atomic.Int64
+	// after is the revision from which the latest watch began.
+	after atomic.Int64
 }
 
 func (s *slowWatchStore) Range(context.Context, string, string) (platform.Page, error) {
@@ -41,11 +43,12 @@
 }
 
 func (s *slowWatchStore) WatchPrefix(ctx context.Context, _ string, after platform.Revision, _ time.Duration, _ platform.Patience) ([]platform.Item, platform.Revision, error) {
+	s.after.Store(int64(after))
 	if int64(after) < s.compacted.Load() {
 		return nil, 0, platform.ErrCompacted
 	}
 	sleep(ctx, s.delay)
-	return nil, 1, ctx.Err()
+	return nil, max(after, 1), ctx.Err()
 }
 
 func (s *slowWatchStore) Txn(context.Context, map[string]platform.Revision, []platform.Put) (platform.Revision, error) {
@@ -195,6 +198,20 @@
 	}
 }
 
+// TestWatchLeavesOutWhatRelaysDelivered guards against a relay with a thin link that stays
+// behind, because each version of a large configuration that other relays have sent it comes
+// once more from the store.
+func TestWatchLeavesOutWhatRelaysDelivered(t *testing.T) {
+	store := &slowWatchStore{delay: 200 * time.Millisecond}
+	f := newBareFollower(t, "n0", "a")
+	f.cfg.Store = store
+	w := &watch{follower: f}
+	go func() { _ = w.run(t.Context()) }()
+	await(t, "the first watch", time.Second, func() bool { return store.after.Load() == 0 })
+	f.cfg.Replica.Merge("relay", replica.Delta{Through: 7, Snapshot: true})
+	await(t, "the next watch begins behind that", 2*time.Second, func() bool { return store.after.Load() == 7 })
+}
+
 var _ Store = (*slowWatchStore)(nil)
 
 // TestPausedNodeAwaitsAConfirmation guards against a process that was paused for
--- a/gateway/follow/watch.go
+++ b/gateway/follow/watch.go
@@ -23,6 +23,10 @@
 // run watches until a call fails.
 func (w *watch) run(ctx context.Context) error {
 	for {
+		// What relays have delivered meanwhile need not come again over a thin link.
+		if known := int64(w.follower.cfg.Replica.View().Revision); known > w.at.Load() {
+			w.at.Store(known)
+		}
 		start, limits := startCall(), patience()
 		limits.OnBytes = func() { w.receiving.Store(true) }
 		changes, next, err := w.follower.cfg.Store.WatchPrefix(ctx, allKeys, platform.Revision(w.at.Load()), watchWait, limits)
