--- a/gateway/follow/relay.go
+++ b/gateway/follow/relay.go
@@ -98,7 +98,7 @@
 				f.checkCopy(from)
 			}
 			if req.Fetches {
-				return f.inParts(reply)
+				return f.inParts(req.After, reply)
 			}
 			return reply, nil
 		}
--- a/gateway/follow/values.go
+++ b/gateway/follow/values.go
@@ -65,8 +65,16 @@
 	errUnknown = errors.New("the content is not known")
 )
 
-// inParts returns a reply that announces large values and sends a long list in parts.
-func (f *Follower) inParts(reply changesReply) (changesReply, error) {
+// listName identifies the changes between two revisions, or the content of the copy at the
+// second one.
+type listName struct {
+	after, through platform.Revision
+	snapshot       bool
+}
+
+// inParts returns the reply to a poll after a revision that announces large values and
+// sends a long list in parts. The list is encoded once for all nodes that ask for it.
+func (f *Follower) inParts(after platform.Revision, reply changesReply) (changesReply, error) {
 	d := replica.Delta{Items: reply.Changes}
 	d.SplitLarge()
 	reply.Changes, reply.Announced = d.Items, d.Announced
@@ -77,13 +85,13 @@
 	if bytes <= content.PartBytes {
 		return reply, nil
 	}
-	list, err := content.EncodeList(reply.Changes)
+	list, err := f.shelf.Get(listName{after, reply.Through, reply.Snapshot}, func() (content.Blob, error) {
+		slices.SortFunc(reply.Changes, func(a, b platform.Item) int { return cmp.Compare(a.Key, b.Key) })
+		return content.EncodeList(reply.Changes)
+	})
 	if err != nil {
 		return changesReply{}, err
 	}
-	if _, err := f.shelf.Get(list.ID, func() (content.Blob, error) { return list, nil }); err != nil {
-		return changesReply{}, err
-	}
 	reply.Changes, reply.List = nil, list.Part(0)
 	return reply, nil
 }
