--- a/fleet/delta/delta.go
+++ b/fleet/delta/delta.go
@@ -54,17 +54,31 @@
 	Sum [sha256.Size]byte `cbor:"2,keyasint"`
 }
 
-// sections splits a text.
-func (f Format) sections(text []byte) [][]byte {
-	var out [][]byte
-	for len(text) > 0 {
+// bounds returns the offsets at which the sections of a text begin, and its length.
+func (f Format) bounds(text []byte) []int {
+	at := []int{0}
+	for from := 0; from < len(text); {
 		// A section has at least one byte.
-		i := bytes.Index(text[1-f.lead:], f.start)
+		from += 1 - f.lead
+		i := bytes.Index(text[from:], f.start)
 		if i < 0 {
-			return append(out, text)
+			break
 		}
-		out = append(out, text[:i+1])
-		text = text[i+1:]
+		from += i + f.lead
+		at = append(at, from)
+	}
+	return append(at, len(text))
+}
+
+// sections splits a text.
+func (f Format) sections(text []byte) [][]byte {
+	if len(text) == 0 {
+		return nil
+	}
+	bounds := f.bounds(text)
+	out := make([][]byte, len(bounds)-1)
+	for i := range out {
+		out[i] = text[bounds[i]:bounds[i+1]]
 	}
 	return out
 }
@@ -119,23 +133,25 @@
 // Apply returns the new text. It fails if from is not the text that the Delta was made
 // from.
 func (d Delta) Apply(from []byte, f Format) ([]byte, error) {
-	sections := f.sections(from)
-	var out []byte
+	bounds := f.bounds(from)
+	if len(from) == 0 {
+		bounds = bounds[:1] // no sections
+	}
+	sections := len(bounds) - 1
+	size := 0
 	for _, e := range d.Edits {
-		if e.First < 0 || e.Count < 0 || e.First > len(sections) || e.Count > len(sections)-e.First {
+		if e.First < 0 || e.Count < 0 || e.First > sections || e.Count > sections-e.First {
 			return nil, ErrMismatch
 		}
-		for _, s := range sections[e.First : e.First+e.Count] {
-			out = append(out, s...)
-			if len(out) > MaxTextBytes {
-				return nil, ErrTextSize
-			}
-		}
-		out = append(out, e.Text...)
-		if len(out) > MaxTextBytes {
+		if size += bounds[e.First+e.Count] - bounds[e.First] + len(e.Text); size > MaxTextBytes {
 			return nil, ErrTextSize
 		}
 	}
+	out := make([]byte, 0, size)
+	for _, e := range d.Edits {
+		out = append(out, from[bounds[e.First]:bounds[e.First+e.Count]]...)
+		out = append(out, e.Text...)
+	}
 	if sha256.Sum256(out) != d.Sum {
 		return nil, ErrMismatch
 	}
--- a/gateway/follow/confirmation.go
+++ b/gateway/follow/confirmation.go
@@ -153,6 +153,19 @@
 	return time.Since(last)
 }
 
+// listedAge returns the time since this node's replica was last complete but for announced
+// values, by the store or by a relay. A relay has nothing to add to it if its own copy is no
+// younger.
+func (f *Follower) listedAge() time.Duration {
+	last, _ := f.confirmation()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmations.listed.After(last) {
+		last = f.confirmations.listed
+	}
+	return time.Since(last)
+}
+
 // unbroken returns for how long this node's replica has been confirmed without a gap.
 func (f *Follower) unbroken() time.Duration {
 	f.mu.Lock()
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -114,7 +114,7 @@
 	view := f.cfg.Replica.View()
 	start := startCall()
 	err := f.cfg.Transport.CallPatiently(polling, peerOf(n), kindChanges, changesRequest{
-		After: view.Listed, Checksum: view.Checksum, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.CopyAge(), Fetches: true,
+		After: view.Listed, Checksum: view.Checksum, Wait: hold, NoticeOnly: noticeOnly, Fresh: f.wasFresh(n.Name), Age: f.listedAge(), Fetches: true,
 	}, &reply, timeout)
 	if err != nil {
 		return answer{}, err
--- a/gateway/follow/values_test.go
+++ b/gateway/follow/values_test.go
@@ -92,6 +92,26 @@
 	c.Check(int64(node.cfg.Replica.View().Config.Revision), qt.Equals, int64(2))
 }
 
+// TestPollsAreHeldWhileAValueIsFetched guards against polls without a pause while a value is
+// missing, as the relay's copy is younger than the node's.
+func TestPollsAreHeldWhileAValueIsFetched(t *testing.T) {
+	relay, at := serveCopy(t, "relay")
+	relay.cfg.Transport.Handle(kindValue, func(context.Context, string, []byte) (any, error) { return nil, errUnknown })
+	relay.cfg.Replica.Replace("test", []platform.Item{configurationItem(1, 100<<10, 1, 5)}, 5, 0)
+	polls := 0
+	relay.cfg.Transport.Handle(kindChanges, func(ctx context.Context, from string, body []byte) (any, error) {
+		polls++
+		relay.recordConfirmation(time.Now())
+		return relay.serveChanges(ctx, from, body)
+	})
+	node := newBareFollower(t, "node", "a")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*sameZoneWait)
+	defer cancel()
+	qt.Assert(t, node.pollRelay(ctx, at, sameZoneWait), qt.IsNotNil)
+	qt.Check(t, node.cfg.Replica.View().Announced, qt.HasLen, 1)
+	qt.Check(t, polls <= 8, qt.IsTrue, qt.Commentf("%d polls in %s", polls, 5*sameZoneWait))
+}
+
 // TestLongListArrivesInParts guards against a first copy of the store that exceeds the
 // largest message.
 func TestLongListArrivesInParts(t *testing.T) {
