gateway/content: receivers that find no room on a link get turns in their order

Who asked a relay for a part while its link was busy asked again later, in competition with all others, so that some got theirs much later than the link's time for all. TestPacerKeepsTheOrder; 40 nodes with two parts each take less than twice the link's time in TestPacerKeepsToTheLink.

--- a/gateway/content/content_test.go
+++ b/gateway/content/content_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,22 +97,58 @@
 
 func TestPacerKeepsToTheLink(t *testing.T) {
 	c := qt.New(t)
-	now := time.Unix(1000, 0)
-	sent := 0
+	start := time.Unix(1000, 0)
+	now := start
 	p := NewPacer(10)
-	for end := now.Add(2 * time.Second); now.Before(end); {
-		later, ok := p.Admit(now, PartBytes)
-		if ok {
-			sent += PartBytes
+	// Receivers ask again when it is their turn, as long as there are any.
+	const receivers, partsEach = 40, 2
+	type receiver struct {
+		name    string
+		askAt   time.Time
+		missing int
+	}
+	var waiting []*receiver
+	for i := range receivers {
+		waiting = append(waiting, &receiver{fmt.Sprint("n", i), now, partsEach})
+	}
+	for len(waiting) > 0 {
+		slices.SortStableFunc(waiting, func(a, b *receiver) int { return a.askAt.Compare(b.askAt) })
+		r := waiting[0]
+		now = r.askAt
+		later, ok := p.Admit(now, r.name, PartBytes)
+		if r.askAt = now.Add(time.Millisecond); !ok {
+			c.Assert(later > 0, qt.IsTrue)
+			r.askAt = now.Add(later)
 			continue
 		}
-		c.Assert(later > 0 && later < maxBacklog+100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", later))
-		now = now.Add(later)
+		if r.missing--; r.missing == 0 {
+			waiting = waiting[1:]
+		}
 	}
-	share := float64(sent) / 2 / (10e6 / 8)
-	c.Check(share > 0.65 && share < 0.8, qt.IsTrue, qt.Commentf("%.2f of the link", share))
+	link := time.Duration(receivers*partsEach*PartBytes) * time.Second / (10e6 / 8)
+	took := now.Sub(start)
+	c.Check(took > link && took < link*2, qt.IsTrue, qt.Commentf("%s, %s of the whole link", took, link))
 	for range 1000 {
-		_, ok := NewPacer(0).Admit(now, PartBytes)
+		_, ok := NewPacer(0).Admit(now, "n", PartBytes)
 		c.Assert(ok, qt.IsTrue)
 	}
 }
+
+// TestPacerKeepsTheOrder guards against nodes that get a configuration too late, because
+// others that ask later are served before them again and again.
+func TestPacerKeepsTheOrder(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	p := NewPacer(10)
+	var turns []time.Duration
+	for i := range 40 {
+		later, ok := p.Admit(now, fmt.Sprint("n", i), PartBytes)
+		c.Assert(ok, qt.Equals, i < 2)
+		turns = append(turns, later)
+	}
+	c.Check(slices.IsSorted(turns), qt.IsTrue)
+	again, ok := p.Admit(now.Add(turns[20]/2), "n20", PartBytes)
+	c.Check(!ok && again == turns[20]-turns[20]/2, qt.IsTrue, qt.Commentf("who asks early keeps its turn"))
+	_, ok = p.Admit(now.Add(turns[20]), "n20", PartBytes)
+	c.Check(ok, qt.IsTrue)
+}
--- a/gateway/follow/values.go
+++ b/gateway/follow/values.go
@@ -31,6 +31,9 @@
 	// fetchInterval is the wait before the relays are asked for a value again that none of
 	// them could send.
 	fetchInterval = 100 * time.Millisecond
+	// maxTurnWait is how long a node waits for its turn at a relay before it asks another
+	// one. Its turn stays.
+	maxTurnWait = 500 * time.Millisecond
 )
 
 // valueRequest asks for a part of the newest value of a key.
@@ -62,6 +65,7 @@
 
 var (
 	errBehind  = errors.New("the relay does not have the announced value")
+	errBusy    = errors.New("the relay's link has no room for long")
 	errUnknown = errors.New("the content is not known")
 )
 
@@ -97,7 +101,7 @@
 }
 
 // serveList sends a part of a list.
-func (f *Follower) serveList(_ context.Context, _ string, body []byte) (any, error) {
+func (f *Follower) serveList(_ context.Context, from string, body []byte) (any, error) {
 	var req content.Part
 	if err := control.Unmarshal(body, &req); err != nil {
 		return nil, err
@@ -106,12 +110,13 @@
 	if !ok {
 		return nil, errUnknown
 	}
-	return f.admitPart(blob.Part(req.Offset)), nil
+	return f.admitPart(from, blob.Part(req.Offset)), nil
 }
 
-// admitPart returns the reply with a part, or without if the link has no room for it.
-func (f *Follower) admitPart(p content.Part) partReply {
-	if later, ok := f.pacer.Admit(time.Now(), len(p.Bytes)); !ok {
+// admitPart returns the reply with a part to a node, or without if the link has no room
+// for it.
+func (f *Follower) admitPart(to string, p content.Part) partReply {
+	if later, ok := f.pacer.Admit(time.Now(), to, len(p.Bytes)); !ok {
 		return partReply{Later: later}
 	}
 	return partReply{Part: p}
@@ -124,7 +129,7 @@
 }
 
 // serveValue sends a part of the newest value of a key.
-func (f *Follower) serveValue(_ context.Context, _ string, body []byte) (any, error) {
+func (f *Follower) serveValue(_ context.Context, from string, body []byte) (any, error) {
 	var req valueRequest
 	if err := control.Unmarshal(body, &req); err != nil {
 		return nil, err
@@ -146,7 +151,7 @@
 	if req.ID != blob.ID {
 		req.Offset = 0
 	}
-	return valueReply{partReply: f.admitPart(blob.Part(req.Offset)), Revision: item.Revision, Base: base.Revision}, nil
+	return valueReply{partReply: f.admitPart(from, blob.Part(req.Offset)), Revision: item.Revision, Base: base.Revision}, nil
 }
 
 // fetchList collects a list of changes whose first part a relay has sent.
@@ -160,7 +165,7 @@
 		switch {
 		case err != nil:
 		case reply.Later > 0:
-			sleepBefore(ctx, reply.Later)
+			sleep(ctx, reply.Later)
 		default:
 			whole, err = parts.Add(reply.Part)
 		}
@@ -204,7 +209,8 @@
 				f.cfg.Log.Info("value not fetched", "key", a.Key, "revision", a.Revision, "relay", relay.Name, "error", err)
 			}
 		}
-		sleepBefore(ctx, fetchInterval)
+		// Not all nodes ask at the same time.
+		sleep(ctx, fetchInterval+rand.N(fetchInterval/2))
 	}
 }
 
@@ -270,9 +276,11 @@
 		switch {
 		case reply.Revision <= have.Revision:
 			return errBehind
+		case reply.Later > maxTurnWait:
+			return errBusy
 		case reply.Later > 0:
 			f.recordValueProgress()
-			sleepBefore(ctx, reply.Later)
+			sleep(ctx, reply.Later)
 			continue
 		}
 		encoded, err := v.parts.Add(reply.Part)
@@ -314,7 +322,3 @@
 	}
 	return nil
 }
-
-// sleepBefore waits for d and up to half as long again, so that nodes do not ask at the
-// same time.
-func sleepBefore(ctx context.Context, d time.Duration) { sleep(ctx, d+rand.N(d/2+1)) }
