integration: a crash within an answer, for serve too

The stand-in target can crash within its answer now, and the test sends such a request again and again on both ways.

With the earlier conditions of node/home.go the test fails on both ways: 4 of 4 targets crash and no sending is refused.

--- a/integration/poison_test.go
+++ b/integration/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -83,6 +84,32 @@
 	c.Assert(code, qt.Equals, 1)
 }
 
+// TestRequestThatCrashesTargetsInMidAnswerIsQuarantined guards against a request that
+// crashes targets after the first bytes of their answers, while these are buffered or passed
+// on, and is never refused.
+func TestRequestThatCrashesTargetsInMidAnswerIsQuarantined(t *testing.T) {
+	for name, size := range map[string]int{"buffered": 1 << 10, "passed on": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			crashing := target.Config{CrashFor: 300 * time.Millisecond}
+			targets, ini := startTargets(c, "statusdesk", crashing, crashing, crashing, crashing)
+			f := startFleet(c, 1, pathConfig+ini)
+			for i := range 8 {
+				r := callerRequest{
+					method: "POST", url: f.url(0, "/status/van?id=7"), id: fmt.Sprint("bad", i), body: "rug 12",
+					header: map[string]string{
+						answer.HeaderPoison: answer.PoisonInAnswer, answer.HeaderBytes: strconv.Itoa(size),
+					},
+				}.send()
+				if i >= 2 {
+					c.Check(r.reason, qt.Equals, string(outcome.ReasonPoison), qt.Commentf("sending %d: %v", i, r.failure))
+				}
+			}
+			c.Check(crashCount(targets), qt.Equals, 2)
+		})
+	}
+}
+
 // TestQuarantineOutlivesTheHome guards against a quarantine that is lost with its home,
 // so that the request crashes further targets through the next home.
 func TestQuarantineOutlivesTheHome(t *testing.T) {
--- a/testbed/answer/answer.go
+++ b/testbed/answer/answer.go
@@ -21,8 +21,10 @@
 	HeaderWork = "Testbed-Work"
 	// HeaderBytes is the size of the answer's body in bytes.
 	HeaderBytes = "Testbed-Bytes"
-	// HeaderPoison, if not empty, crashes the target that runs the request.
-	HeaderPoison = "Testbed-Poison"
+	// HeaderPoison, if not empty, crashes the target that runs the request: before it
+	// answers, or within its answer if the value is PoisonInAnswer.
+	HeaderPoison   = "Testbed-Poison"
+	PoisonInAnswer = "in-answer"
 )
 
 // Response headers of a stand-in target.
--- a/testbed/target/reply.go
+++ b/testbed/target/reply.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// replyInPart sends the first half of an answer.
+func replyInPart(w http.ResponseWriter, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+}
+
 // hijack takes over the connection, or returns nil if that fails.
 func hijack(w http.ResponseWriter) net.Conn {
 	c, _, err := http.NewResponseController(w).Hijack()
--- a/testbed/target/work.go
+++ b/testbed/target/work.go
@@ -45,7 +45,11 @@
 	defer func() { <-t.slots }()
 
 	run := t.begin(r)
-	if r.Header.Get(answer.HeaderPoison) != "" {
+	if poison := r.Header.Get(answer.HeaderPoison); poison != "" {
+		if poison == answer.PoisonInAnswer {
+			size, _ := strconv.Atoi(r.Header.Get(answer.HeaderBytes))
+			replyInPart(w, answer.Make(run.Request, digest, size))
+		}
 		t.Crash()
 		return
 	}
