--- a/soak/mutants.go
+++ b/soak/mutants.go
@@ -71,8 +71,8 @@
 				`q := url.Values{"prefix": {prefix}}` + "\n\tif prefix == \"\" {\n\t\tq.Set(\"serializable\", \"1\")\n\t}",
 			},
 			{
-				"platform/client.go", "first = p.Revision",
-				"first = p.Revision\n\t\t\tif now, err := c.Range(ctx, \"~\", \"\"); err == nil {\n\t\t\t\tfirst = now.Revision\n\t\t\t}",
+				"platform/listing.go", "l.Revision = p.Revision",
+				"l.Revision = p.Revision\n\t\t\tif now, err := c.Range(ctx, \"~\", \"\"); err == nil {\n\t\t\t\tl.Revision = now.Revision\n\t\t\t}",
 			},
 		},
 	},
