gateway/replica: a test of an announced value whose key is removed, known red

A last reading of the change found it: a node is told that a large value exists, the key is removed before the value has arrived, and the node reads the store as a whole. The announcement stays, so that the copy never becomes complete; the node follows the store itself from then on and goes on asking relays for the value.

The cause is known (Replica.removeMissing looks at the entries only).

--- a/gateway/replica/values_test.go
+++ b/gateway/replica/values_test.go
@@ -93,3 +93,13 @@
 	c.Check(r.View().Revision, qt.Equals, platform.Revision(9))
 	c.Check(r.View().Announced, qt.HasLen, 0)
 }
+
+// TestAnnouncedValueThatTheStoreNoLongerHasIsNotMissing guards against a copy that stays
+// incomplete because a key was removed before its announced value arrived.
+func TestAnnouncedValueThatTheStoreNoLongerHasIsNotMissing(t *testing.T) {
+	r := newReplica()
+	r.Merge("relay", Delta{Announced: []Announcement{{Key: platform.ConfigurationKey, Revision: 10}}, Through: 10})
+	r.Replace("store", nil, 12, 0)
+	qt.Check(t, r.View().Announced, qt.HasLen, 0)
+	qt.Check(t, r.View().Revision, qt.Equals, platform.Revision(12))
+}
