--- a/gateway/follow/values.go
+++ b/gateway/follow/values.go
@@ -65,6 +65,7 @@
 
 var (
 	errBehind  = errors.New("the relay does not have the announced value")
+	errRemoved = errors.New("the relay knows that the key was removed")
 	errBusy    = errors.New("the relay's link has no room for long")
 	errUnknown = errors.New("the content is not known")
 )
@@ -282,6 +283,8 @@
 			f.recordValueProgress()
 			sleep(ctx, reply.Later)
 			continue
+		case len(reply.Part.Bytes) == 0:
+			return errRemoved
 		}
 		encoded, err := v.parts.Add(reply.Part)
 		if err != nil {
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -214,9 +214,9 @@
 	return fresh
 }
 
-// correct puts back the entries of a snapshot of the store that this replica has at a
-// higher revision, though no higher than that of the snapshot: no such write was made. It
-// reports whether there are any.
+// correct puts back the entries of a snapshot of the store that this replica has, or awaits,
+// at a higher revision, though no higher than that of the snapshot: no such write was made.
+// It reports whether there are any.
 func (r *Replica) correct(d Delta) bool {
 	corrected := 0
 	for _, item := range d.Items {
@@ -225,6 +225,10 @@
 			r.set(item, 0)
 			corrected++
 		}
+		if awaited := r.announced[item.Key]; awaited > item.Revision && awaited <= d.Through {
+			delete(r.announced, item.Key)
+			corrected++
+		}
 	}
 	if corrected == 0 {
 		return false
@@ -235,7 +239,8 @@
 	return true
 }
 
-// removeMissing removes the keys that a snapshot lacks. It returns their number.
+// removeMissing removes the keys that a snapshot lacks, also those whose announced values
+// have not arrived. It returns their number.
 func (r *Replica) removeMissing(d Delta, grace time.Duration) int {
 	r.implied = true
 	present := make(map[string]bool, len(d.Items)+len(d.Announced))
@@ -252,6 +257,12 @@
 			removed++
 		}
 	}
+	for key, revision := range r.announced {
+		if !present[key] && revision <= d.Through {
+			r.merge(platform.Item{Key: key, Revision: d.Through, Deleted: true}, 0)
+			removed++
+		}
+	}
 	return removed
 }
 
--- a/gateway/replica/values_test.go
+++ b/gateway/replica/values_test.go
@@ -102,4 +102,40 @@
 	r.Replace("store", nil, 12, 0)
 	qt.Check(t, r.View().Announced, qt.HasLen, 0)
 	qt.Check(t, r.View().Revision, qt.Equals, platform.Revision(12))
+	qt.Check(t, r.View().Checksum, qt.Equals, emptySum)
+}
+
+// TestRemovedValueIsNotAnnouncedAgain guards against a copy that waits for a value again,
+// because a relay that lags announces it after its key was removed.
+func TestRemovedValueIsNotAnnouncedAgain(t *testing.T) {
+	announcement := Announcement{Key: platform.ConfigurationKey, Revision: 10}
+	r := newReplica()
+	r.Merge("relay", Delta{Announced: []Announcement{announcement}, Through: 10})
+	r.Merge("another relay", Delta{Snapshot: true, Through: 12})
+	r.Merge("relay", Delta{Announced: []Announcement{announcement}, Through: 10})
+	qt.Check(t, r.View().Announced, qt.HasLen, 0)
+	qt.Check(t, r.View().Revision, qt.Equals, platform.Revision(12))
+}
+
+// TestRemovalOfAnAnnouncedValueIsPassedOn guards against nodes behind a relay that go on
+// waiting for a value whose removal the relay knows.
+func TestRemovalOfAnAnnouncedValueIsPassedOn(t *testing.T) {
+	announced := Delta{Announced: []Announcement{{Key: platform.ConfigurationKey, Revision: 10}}, Through: 10}
+	relay, node := newReplica(), newReplica()
+	relay.Merge("relay", announced)
+	node.Merge("relay", announced)
+	relay.Replace("store", nil, 12, 0)
+	node.Merge("relay", relay.Changes(node.View().Listed))
+	qt.Check(t, node.View().Announced, qt.HasLen, 0)
+	qt.Check(t, node.View().Revision, qt.Equals, platform.Revision(12))
+}
+
+// TestAnnouncementThatTheStoreContradictsIsCorrected guards against a copy that waits for a
+// revision of a key that the store, read later, does not have.
+func TestAnnouncementThatTheStoreContradictsIsCorrected(t *testing.T) {
+	r := newReplica()
+	r.Merge("relay", Delta{Announced: []Announcement{{Key: platform.ConfigurationKey, Revision: 10}}, Through: 10})
+	r.Replace("store", []platform.Item{{Key: platform.ConfigurationKey, Value: []byte("{}"), Revision: 8}}, 12, 0)
+	qt.Check(t, r.View().Announced, qt.HasLen, 0)
+	qt.Check(t, r.View().Revision, qt.Equals, platform.Revision(12))
 }
