--- a/gateway/follow/values_test.go
+++ b/gateway/follow/values_test.go
@@ -92,6 +92,17 @@
 	c.Check(int64(node.cfg.Replica.View().Config.Revision), qt.Equals, int64(2))
 }
 
+// TestFetchOfARemovedKeyIsNamed guards against log lines that take the removal of a key for
+// content that is damaged.
+func TestFetchOfARemovedKeyIsNamed(t *testing.T) {
+	relay, at := serveCopy(t, "relay")
+	relay.cfg.Replica.Apply("test", []platform.Item{{Key: platform.ConfigurationKey, Revision: 6, Deleted: true}}, 6)
+	node := newBareFollower(t, "node", "a")
+	node.cfg.Replica.Merge("test", replica.Delta{Announced: []replica.Announcement{{Key: platform.ConfigurationKey, Revision: 5}}, Through: 5})
+	fetch := valueFetch{follower: node, key: platform.ConfigurationKey, start: time.Now()}
+	qt.Check(t, fetch.from(t.Context(), at), qt.ErrorIs, errRemoved)
+}
+
 // TestPollsAreHeldWhileAValueIsFetched guards against polls without a pause while a value is
 // missing, as the relay's copy is younger than the node's.
 func TestPollsAreHeldWhileAValueIsFetched(t *testing.T) {
--- a/integration/stops_test.go
+++ b/integration/stops_test.go
@@ -80,7 +80,9 @@
 // TestStopsInTurnCutNoBooking guards against bookings that are cut, or refused after they
 // ran, as nodes are stopped in turn: at the node that accepted them, whose callers go on
 // using their connections until it closes them, or while they wait at a home that stops.
-func TestStopsInTurnCutNoBooking(t *testing.T) { stopInTurn(t) }
+func TestStopsInTurnCutNoBooking(t *testing.T) {
+	stopInTurn(t)
+}
 
 // TestStopsInTurnRefuseFewBookings guards against bookings that are refused while slots are
 // free, as nodes are stopped in turn and homes change.
