fleet/control: a test keeps the address that it dials before it listens

It took a free port, closed the listener so that five calls fail, and listened on the same port 2.5 s later. The port is one of those that the system gives to others, and the tests of other packages run at the same time, so that one of them had it by then. The fault is in the test; the program was not reached.

The address now stays bound for the whole test, without listening, so that calls are refused as before and nobody else can get it.

--- a/fleet/control/transport_test.go
+++ b/fleet/control/transport_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,23 +234,39 @@
 	qt.Assert(t, <-slow, qt.IsNotNil)
 }
 
+// reserveAddress binds an address, which refuses connections until listen is called. No
+// other process can take it meanwhile.
+func reserveAddress(t *testing.T) (address string, listen func() net.Listener) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	qt.Assert(t, err, qt.IsNil)
+	file := os.NewFile(uintptr(fd), "reserved address")
+	t.Cleanup(func() { _ = file.Close() })
+	qt.Assert(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	bound, err := syscall.Getsockname(fd)
+	qt.Assert(t, err, qt.IsNil)
+	address = fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	return address, func() net.Listener {
+		qt.Assert(t, syscall.Listen(fd, syscall.SOMAXCONN), qt.IsNil)
+		l, err := net.FileListener(file)
+		qt.Assert(t, err, qt.IsNil)
+		return l
+	}
+}
+
 // TestPeerThatConnectsIsDialledAtOnce guards against a restarted peer that
 // stays unreachable for the rest of a backoff although it has already connected
 // to this node.
 func TestPeerThatConnectsIsDialledAtOnce(t *testing.T) {
 	a, toA := startTransport(t, "a", testKey)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	toB := Peer{Name: "b", ControlAddress: l.Addr().String()}
-	qt.Assert(t, l.Close(), qt.IsNil)
+	address, listen := reserveAddress(t)
+	toB := Peer{Name: "b", ControlAddress: address}
 	ctx := testContext(t)
 	a.Handle("echo", echo)
 	for range 5 {
 		qt.Assert(t, a.Call(ctx, toB, "echo", ping{}, nil), qt.IsNotNil)
 	}
-	again, err := net.Listen("tcp", toB.ControlAddress)
-	qt.Assert(t, err, qt.IsNil)
-	b, _ := startTransportOn(t, "b", testKey, again)
+	b, _ := startTransportOn(t, "b", testKey, listen())
 	b.Handle("echo", echo)
 	qt.Assert(t, b.Call(ctx, toA, "echo", ping{}, nil), qt.IsNil)
 	// The backoff after five failures is at least 1.6 s.
